--- /dev/null
+++ b/src/monsoonmill/chart.py
@@ -0,0 +1,261 @@
+"""State charts: files in sismic's YAML format and their interpreter.
+
+A chart file names guards and actions; the code that uses the chart binds the
+names. A name without a binding fails when the chart is bound, not when it is
+first needed. An event costs a dictionary look-up for each enclosing state.
+"""
+
+from collections.abc import Callable, Mapping
+from functools import cache
+from importlib.resources import files
+
+from attrs import define, field, frozen
+from yaml import YAMLError, safe_load
+
+from monsoonmill.errors import ChartError
+
+
+@frozen
+class Transition:
+    """One transition: ``target`` is None for an internal one."""
+
+    source: str
+    event: str
+    target: str | None
+    guard: str | None
+    action: str | None
+
+
+@define
+class State:
+    """One state of a chart; states form a tree."""
+
+    name: str
+    parent: str | None
+    initial: str | None = None
+    final: bool = False
+    on_entry: str | None = None
+    on_exit: str | None = None
+    transitions: dict[str, list[Transition]] = field(factory=dict)
+
+
+@frozen
+class Chart:
+    """A chart as read from its file."""
+
+    name: str
+    root: str
+    states: dict[str, State]
+
+    @classmethod
+    def from_yaml(cls, text: str) -> "Chart":
+        """Build a chart from the text of a file.
+
+        Raises
+        ------
+        ChartError
+            The text is no YAML, a state is named twice or a target is missing.
+        """
+        try:
+            doc = safe_load(text)["statechart"]
+            states: dict[str, State] = {}
+            _collect(doc["root state"], None, states)
+        except (YAMLError, KeyError, TypeError) as exc:
+            raise ChartError(f"malformed chart: {exc}") from exc
+        chart = cls(doc["name"], doc["root state"]["name"], states)
+        chart._check_targets()
+        return chart
+
+    def _check_targets(self):
+        for state in self.states.values():
+            if state.initial is not None and state.initial not in self.states:
+                raise ChartError(f"{self.name}: no state {state.initial!r}")
+            for transition in _all_transitions(state):
+                target = transition.target
+                if target is not None and target not in self.states:
+                    raise ChartError(f"{self.name}: no state {target!r}")
+
+    def names(self) -> set[str]:
+        """Return the guards and actions that the chart uses."""
+        found = set()
+        for state in self.states.values():
+            found |= {state.on_entry, state.on_exit}
+            for transition in _all_transitions(state):
+                found |= {transition.guard, transition.action}
+        found.discard(None)
+        return found
+
+    def path(self, name: str) -> list[str]:
+        """Return the states from the root down to ``name``."""
+        path = []
+        current = name
+        while current is not None:
+            path.append(current)
+            current = self.states[current].parent
+        return path[::-1]
+
+    def bind(self, bindings: Mapping[str, Callable]) -> "BoundChart":
+        """Bind the chart's names to functions of an instance's owner.
+
+        Raises
+        ------
+        ChartError
+            The chart uses a name that has no binding.
+        """
+        missing = self.names() - set(bindings)
+        if missing:
+            raise ChartError(f"{self.name}: unbound names {sorted(missing)}")
+        return BoundChart(self, dict(bindings))
+
+
+def _all_transitions(state):
+    for transitions in state.transitions.values():
+        yield from transitions
+
+
+def _collect(doc, parent, states):
+    name = doc["name"]
+    if name in states:
+        raise ChartError(f"state {name!r} is defined twice")
+    state = State(
+        name=name,
+        parent=parent,
+        initial=doc.get("initial"),
+        final=doc.get("type") == "final",
+        on_entry=doc.get("on entry"),
+        on_exit=doc.get("on exit"),
+    )
+    states[name] = state
+    for item in doc.get("transitions", ()):
+        transition = Transition(
+            source=name,
+            event=item["event"],
+            target=item.get("target"),
+            guard=item.get("guard"),
+            action=item.get("action"),
+        )
+        state.transitions.setdefault(transition.event, []).append(transition)
+    for child in doc.get("states", ()):
+        _collect(child, name, states)
+
+
+@cache
+def load_chart(name: str) -> Chart:
+    """Load a chart that the package ships.
+
+    Parameters
+    ----------
+    name : str
+        File name below ``charts`` without its ending.
+    """
+    path = files("monsoonmill") / "charts" / f"{name}.yaml"
+    try:
+        text = path.read_text(encoding="utf-8")
+    except FileNotFoundError as exc:
+        raise ChartError(f"no chart {name!r}") from exc
+    return Chart.from_yaml(text)
+
+
+class BoundChart:
+    """A chart whose guards and actions are functions.
+
+    Functions take the owner of the instance and the event's argument.
+    """
+
+    def __init__(self, chart: Chart, bindings: dict[str, Callable]):
+        self.chart = chart
+        self.bindings = bindings
+        self.paths = {name: chart.path(name) for name in chart.states}
+
+    def start(self, owner: object) -> "ChartInstance":
+        """Return an instance in the chart's initial state."""
+        return ChartInstance(self, owner)
+
+
+def bind_methods(chart_name: str, owner_class: type) -> BoundChart:
+    """Bind a shipped chart to the methods of a class that bear its names."""
+    chart = load_chart(chart_name)
+    found = {name: getattr(owner_class, name, None) for name in chart.names()}
+    bound = {name: method for name, method in found.items() if method is not None}
+    return chart.bind(bound)
+
+
+class ChartInstance:
+    """One run of a bound chart.
+
+    Attributes
+    ----------
+    state : str
+        Name of the innermost active state.
+    """
+
+    __slots__ = ("_bound", "_owner", "state")
+
+    def __init__(self, bound: BoundChart, owner: object):
+        self._bound = bound
+        self._owner = owner
+        self.state = bound.chart.root
+        self._act(bound.chart.states[self.state].on_entry, None)
+        self._descend(None)
+
+    @property
+    def finished(self) -> bool:
+        """Whether the instance has reached a final state."""
+        return self._bound.chart.states[self.state].final
+
+    def is_in(self, name: str) -> bool:
+        """Return whether a state or one of its descendants is active."""
+        return name in self._bound.paths[self.state]
+
+    def send(self, event: str, arg: object = None) -> bool:
+        """Handle an event; return whether a transition was taken.
+
+        The innermost state with an enabled transition handles the event.
+        """
+        states = self._bound.chart.states
+        for name in reversed(self._bound.paths[self.state]):
+            for transition in states[name].transitions.get(event, ()):
+                if self._enabled(transition, arg):
+                    self._take(transition, arg)
+                    return True
+        return False
+
+    def _enabled(self, transition, arg):
+        if transition.guard is None:
+            return True
+        return bool(self._bound.bindings[transition.guard](self._owner, arg))
+
+    def _take(self, transition, arg):
+        if transition.target is None:
+            self._act(transition.action, arg)
+            return
+        paths = self._bound.paths
+        states = self._bound.chart.states
+        keep = _common_ancestors(paths[transition.source], paths[transition.target])
+        for name in reversed(paths[self.state][keep:]):
+            self._act(states[name].on_exit, arg)
+        self._act(transition.action, arg)
+        for name in paths[transition.target][keep:]:
+            self.state = name
+            self._act(states[name].on_entry, arg)
+        self._descend(arg)
+
+    def _descend(self, arg):
+        states = self._bound.chart.states
+        while states[self.state].initial is not None:
+            self.state = states[self.state].initial
+            self._act(states[self.state].on_entry, arg)
+
+    def _act(self, name, arg):
+        if name is not None:
+            self._bound.bindings[name](self._owner, arg)
+
+
+def _common_ancestors(source_path, target_path):
+    """Return how many proper ancestors both ends of a transition share."""
+    shared = 0
+    for one, other in zip(source_path[:-1], target_path[:-1]):  # noqa: B905
+        if one != other:
+            break
+        shared += 1
+    return shared
--- /dev/null
+++ b/src/monsoonmill/decisions/signals.py
@@ -0,0 +1,415 @@
+"""Messages between a node's decisions and its tasks.
+
+A signal with a handler goes to that decision; one without leaves the node's
+core and is carried out by a task.
+"""
+
+from enum import Enum, unique
+
+from attrs import frozen
+
+from monsoonmill.model import Address, Config, HttpRequest, HttpResponse
+from monsoonmill.reasons import Importance, Outcome, Reason
+
+
+# From the front end for callers.
+@frozen
+class CallArrived:
+    """A caller's request, or a nested one of the own backend server.
+
+    Attributes
+    ----------
+    call : str
+        Names the call in this process.
+    bearer : str
+        The caller's key; empty if none came.
+    context : str
+        Token of the parent call; empty for a call from outside.
+    timeout_ms : int or None
+        The time that the caller leaves.
+    """
+
+    call: str
+    service: str
+    request: HttpRequest
+    bearer: str = ""
+    idempotency_key: str = ""
+    timeout_ms: int | None = None
+    context: str = ""
+
+
+@frozen
+class CallerGone:
+    """The caller closed its connection before the answer."""
+
+    call: str
+
+
+@frozen
+class Answer:
+    """The answer of a call, for the front end to send."""
+
+    call: str
+    outcome: Outcome
+    response: HttpResponse | None = None
+    reason: Reason | None = None
+    detail: str = ""
+    retry_after_s: float = 0.0
+
+
+# Between nodes.
+@frozen
+class Send:
+    """Send a message to another node."""
+
+    node: str
+    message: object
+
+
+@frozen
+class Received:
+    """A message that another node sent."""
+
+    node: str
+    message: object
+
+
+@frozen
+class PeerDown:
+    """The stream to a node broke; what was sent may or may not have arrived."""
+
+    node: str
+
+
+@frozen
+class PeerUnreachable:
+    """A message could not be sent at all: no byte of it left."""
+
+    node: str
+    message: object
+
+
+@frozen
+class Connect:
+    """Get to know the node at an address."""
+
+    address: Address
+
+
+@frozen
+class PeerUp:
+    """A stream to a node is open."""
+
+    node: str
+    incarnation: int
+    address: Address
+
+
+# Beside the backend server.
+@frozen
+class BackendAnnounced:
+    """The backend server told that it is there, or still there."""
+
+    service: str
+    address: Address
+    slots: int
+    draining: bool = False
+
+
+@frozen
+class RunCall:
+    """Send a request to the backend server."""
+
+    attempt: str
+    address: Address
+    request: HttpRequest
+    timeout_s: float
+    context: str
+
+
+@frozen
+class AbortRun:
+    """Stop a request at the backend server; nobody waits for its answer."""
+
+    attempt: str
+
+
+@unique
+class RunFailure(Enum):
+    """Ways in which a request to a backend server fails."""
+
+    NOT_SENT = "not-sent"
+    TIMED_OUT = "timed-out"
+    CONNECTION_LOST = "connection-lost"
+    BROKEN_ANSWER = "broken-answer"
+    ABORTED = "aborted"
+
+
+@frozen
+class RunFinished:
+    """A request to the backend server ended; one of the two is set."""
+
+    attempt: str
+    response: HttpResponse | None
+    failure: RunFailure | None
+
+
+@frozen
+class AdmitCall:
+    """Asks for a slot at the backend server."""
+
+    attempt: str
+    route: str
+    organisation: str
+    importance: Importance
+    deadline: float
+
+
+@frozen
+class Admitted:
+    """A slot is free for an attempt."""
+
+    attempt: str
+
+
+@frozen
+class NotAdmitted:
+    """An attempt gets no slot."""
+
+    attempt: str
+    reason: Reason
+    retry_after_s: float
+
+
+@frozen
+class LeaveQueue:
+    """An attempt needs its slot or its place in the queue no more."""
+
+    attempt: str
+
+
+@frozen
+class SlotReleased:
+    """An attempt that held a slot ended.
+
+    Attributes
+    ----------
+    latency_s : float
+        Time at the backend server.
+    shed : bool
+        Whether the backend server refused it for overload.
+    """
+
+    attempt: str
+    latency_s: float
+    shed: bool
+    timed_out: bool
+
+
+# Quotas.
+@frozen
+class TokenWanted:
+    """A call needs one token of its organisation."""
+
+    call: str
+    organisation: str
+    deadline: float
+
+
+@frozen
+class TokenGiven:
+    """A call has its token."""
+
+    call: str
+
+
+@frozen
+class TokenDenied:
+    """A call gets no token."""
+
+    call: str
+    retry_after_s: float
+
+
+# Claims.
+@frozen
+class ClaimWanted:
+    """A call needs the right to run once."""
+
+    call: str
+    organisation: str
+    key: str
+    fingerprint: int
+    deadline: float
+
+
+@frozen
+class ClaimGiven:
+    """A call may run."""
+
+    call: str
+
+
+@frozen
+class ClaimDenied:
+    """A call must not run; an earlier run may have left an answer."""
+
+    call: str
+    reason: Reason
+    outcome: Outcome
+    response: HttpResponse | None = None
+
+
+@frozen
+class ClaimDone:
+    """A call that had its claim ended."""
+
+    call: str
+    outcome: Outcome
+    response: HttpResponse | None = None
+
+
+# Configuration.
+@frozen
+class NoteSubmitted:
+    """An operator hands in a release note, parsed."""
+
+    request: str
+    note: object
+
+
+@frozen
+class NoteAccepted:
+    """A release note is in the configuration of this revision."""
+
+    request: str
+    revision: int
+
+
+@frozen
+class NoteRefused:
+    """A release note was not accepted."""
+
+    request: str
+    error: Exception
+
+
+@frozen
+class ConfigChanged:
+    """Another configuration is in force from here on."""
+
+    old: Config
+    new: Config
+
+
+# Platform.
+@frozen
+class PlatformRead:
+    """Read a key of the platform's service."""
+
+    request: str
+    key: str
+
+
+@frozen
+class PlatformWatch:
+    """Wait until a key's version exceeds ``after``."""
+
+    request: str
+    key: str
+    after: int
+
+
+@frozen
+class PlatformSwap:
+    """Write a key if it still has the expected version; 0 means absent.
+
+    Attributes
+    ----------
+    value : bytes or None
+        None removes the key.
+    lease : str
+        Name of the lease that the key goes with; empty for none.
+    """
+
+    request: str
+    key: str
+    expected: int
+    value: bytes | None
+    lease: str = ""
+
+
+@frozen
+class PlatformLease:
+    """Grant or renew a lease."""
+
+    request: str
+    lease: str
+    ttl_s: float
+
+
+@frozen
+class PlatformList:
+    """Read all keys with a prefix."""
+
+    request: str
+    prefix: str
+
+
+@frozen
+class StoredValue:
+    """A key's value and version; version 0 and no value if absent."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+@frozen
+class PlatformDone:
+    """The platform's answer to a request.
+
+    Attributes
+    ----------
+    sent_at : float
+        Time before the call was sent, from which a lease counts.
+    """
+
+    request: str
+    values: tuple[StoredValue, ...]
+    sent_at: float
+
+
+@frozen
+class PlatformFailed:
+    """A platform call failed; a change may still have taken effect."""
+
+    request: str
+    error: Exception
+
+
+# Life of the node.
+@frozen
+class DrainRequested:
+    """Leave the fleet gracefully."""
+
+
+@frozen
+class Drained:
+    """Nothing is in progress any more; the process may end."""
+
+
+@frozen
+class StatusWanted:
+    """An operator asks for a part of the node's state."""
+
+    request: str
+    topic: str
+
+
+@frozen
+class StatusReport:
+    """The part of the state that was asked for, as plain data."""
+
+    request: str
+    report: dict
--- /dev/null
+++ b/src/monsoonmill/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, demonstration and benchmark tools."""
--- /dev/null
+++ b/src/monsoonmill/messages.py
@@ -0,0 +1,310 @@
+"""Messages that nodes send one another over their streams."""
+
+from attrs import field, frozen
+
+from monsoonmill.model import Address, Config, HttpRequest, HttpResponse, Member
+from monsoonmill.reasons import Importance, Outcome, Reason
+
+
+@frozen
+class Hello:
+    """First message on a stream, from both ends."""
+
+    node: str
+    incarnation: int
+    address: Address
+
+
+@frozen
+class Ping:
+    """Heartbeat of a stream."""
+
+    sequence: int
+
+
+@frozen
+class Pong:
+    """Answer to a heartbeat."""
+
+    sequence: int
+
+
+@frozen
+class Part:
+    """Piece of a large message's frame, sent between other messages.
+
+    Attributes
+    ----------
+    transfer : int
+        Names the large message on its stream.
+    """
+
+    transfer: int
+    last: bool
+    data: bytes
+
+
+@frozen
+class Load:
+    """Load beside a backend server, carried by each reply.
+
+    Attributes
+    ----------
+    running : int
+        Calls at the backend server now.
+    waiting : int
+        Calls that wait for a slot.
+    limit : int
+        Calls that may run at once.
+    level : Importance
+        Lowest importance that is admitted at present.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    limit: int = 1
+    level: Importance = Importance.BACKGROUND
+
+
+@frozen
+class Forward:
+    """Asks the node beside a backend server to run a call.
+
+    Attributes
+    ----------
+    attempt : str
+        Names the try; unique over all nodes and times.
+    timeout_ms : int
+        Time left for the answer.
+    tries : int
+        Further tries that the chain below may spend.
+    fingerprint : int
+        Digest of what makes the request the same request.
+    key : str
+        Name (not secret) of the key that the call came with; empty if none.
+    """
+
+    attempt: str
+    service: str
+    route: str
+    request: HttpRequest
+    organisation: str
+    importance: Importance
+    at_most_once: bool
+    timeout_ms: int
+    tries: int
+    depth: int
+    fingerprint: int
+    key: str = ""
+
+
+@frozen
+class Reply:
+    """Answers a ``Forward``.
+
+    Attributes
+    ----------
+    digest : int
+        Digest of the response's body, checked where the call came in.
+    """
+
+    attempt: str
+    outcome: Outcome
+    reason: Reason | None
+    response: HttpResponse | None
+    digest: int
+    tries: int
+    load: Load
+    retry_after_s: float = 0.0
+
+
+@frozen
+class Cancel:
+    """Tells that nobody waits for an attempt's reply any more."""
+
+    attempt: str
+
+
+@frozen
+class MemberGossip:
+    """Changed entries of the membership list.
+
+    Attributes
+    ----------
+    revision : int
+        Configuration revision that the sender has in force.
+    members_digest : int
+        Digest of the sender's whole list, to find lost updates.
+    answer : bool
+        Whether the receiver should answer with its own changes.
+    """
+
+    members: tuple[Member, ...]
+    revision: int
+    members_digest: int = 0
+    answer: bool = False
+
+
+@frozen
+class MemberListRequest:
+    """Asks for the whole membership list."""
+
+
+@frozen
+class ConfigRequest:
+    """Asks for the configuration when the sender's is older."""
+
+    revision: int
+
+
+@frozen
+class ConfigReply:
+    """Carries a whole configuration."""
+
+    config: Config
+
+
+@frozen
+class TokenRequest:
+    """Asks the token holder of an organisation for call tokens.
+
+    Attributes
+    ----------
+    sequence : int
+        Names the request in the answer.
+    tokens : float
+        Tokens wanted.
+    """
+
+    sequence: int
+    organisation: str
+    tokens: float
+
+
+@frozen
+class TokenGrant:
+    """Answers a ``TokenRequest``.
+
+    Attributes
+    ----------
+    tokens : float
+        Tokens granted, which lapse with the term that began at the request.
+    retry_after_s : float
+        When to ask again if too few were granted.
+    """
+
+    sequence: int
+    organisation: str
+    tokens: float
+    retry_after_s: float
+
+
+@frozen
+class LoanRequest:
+    """Asks the owner of slices to lend an organisation's rate for a term."""
+
+    sequence: int
+    organisation: str
+
+
+@frozen
+class Loan:
+    """Lends an organisation's rate in the sender's slices.
+
+    Attributes
+    ----------
+    slices : int
+        Number of slices lent.
+    level : float
+        Tokens in the lent slices' buckets at the time of lending.
+    """
+
+    sequence: int
+    organisation: str
+    slices: int
+    level: float
+
+
+@frozen
+class ClaimRequest:
+    """Asks the primary of a partition for the right to run a call once."""
+
+    sequence: int
+    partition: int
+    epoch: int
+    organisation: str
+    key: str
+    fingerprint: int
+
+
+@frozen
+class ClaimReply:
+    """Answers a ``ClaimRequest``.
+
+    Attributes
+    ----------
+    granted : bool
+        Whether the asker may run the call.
+    outcome : Outcome
+        What is known of an earlier run, when not granted.
+    response : HttpResponse or None
+        The kept answer of an earlier run.
+    """
+
+    sequence: int
+    granted: bool
+    outcome: Outcome
+    reason: Reason | None = None
+    response: HttpResponse | None = None
+
+
+@frozen
+class ClaimSettle:
+    """Tells the primary how a claimed call ended."""
+
+    partition: int
+    organisation: str
+    key: str
+    outcome: Outcome
+    response: HttpResponse | None = None
+
+
+@frozen
+class SuspectReport:
+    """Names requests that were at a backend server when it crashed."""
+
+    node: str
+    crash: str
+    fingerprints: tuple[int, ...]
+
+
+@frozen
+class PoisonNotice:
+    """Names requests that are refused from now on."""
+
+    fingerprints: tuple[int, ...] = field(factory=tuple)
+
+
+PEER_MESSAGES = (
+    Hello,
+    Ping,
+    Pong,
+    Part,
+    Forward,
+    Reply,
+    Cancel,
+    MemberGossip,
+    MemberListRequest,
+    ConfigRequest,
+    ConfigReply,
+    TokenRequest,
+    TokenGrant,
+    LoanRequest,
+    Loan,
+    ClaimRequest,
+    ClaimReply,
+    ClaimSettle,
+    SuspectReport,
+    PoisonNotice,
+)
+"""All types that may travel between nodes."""
--- /dev/null
+++ b/src/monsoonmill/node/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of a node process: each owns its sockets and talks by messages."""
--- /dev/null
+++ b/src/monsoonmill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service: its client and a stand-in for tests."""
--- /dev/null
+++ b/src/monsoonmill/reasons.py
@@ -0,0 +1,106 @@
+"""Outcomes of a call, and reasons of refusals and retries.
+
+The value of each reason is the name of its counter and the text of the
+``Monsoon-Reason`` header.
+"""
+
+from enum import Enum, IntEnum, unique
+
+
+@unique
+class Outcome(Enum):
+    """What is known of a call when its answer goes out."""
+
+    DONE = "done"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@unique
+class Importance(IntEnum):
+    """Importance class of a route; the lowest is shed first."""
+
+    BACKGROUND = 0
+    NORMAL = 1
+    INTERACTIVE = 2
+    CRITICAL = 3
+
+
+@unique
+class Reason(Enum):
+    """Why a call was refused or failed."""
+
+    BAD_REQUEST = "bad-request"
+    TOO_LARGE = "too-large"
+    BAD_CONTEXT = "bad-context"
+    NO_KEY = "no-key"
+    UNKNOWN_KEY = "unknown-key"
+    KEY_WITHDRAWN = "key-withdrawn"
+    FORBIDDEN = "forbidden"
+    NO_SERVICE = "no-service"
+    NO_ROUTE = "no-route"
+    OVER_RATE = "over-rate"
+    SHED = "shed"
+    QUEUE_FULL = "queue-full"
+    BACKEND_SERVER_SHED = "backend-server-shed"
+    NO_BACKEND_SERVER = "no-backend-server"
+    UNREACHABLE = "unreachable"
+    CONNECTION_LOST = "connection-lost"
+    BROKEN_ANSWER = "broken-answer"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    DUPLICATE = "duplicate"
+    CLAIMS_UNAVAILABLE = "claims-unavailable"
+    CLAIMS_LOST = "claims-lost"
+    CLAIMS_FULL = "claims-full"
+    POISON = "poison"
+    DRAINING = "draining"
+    TOO_DEEP = "too-deep"
+    NO_CONFIGURATION = "no-configuration"
+    INTERNAL = "internal"
+
+
+@unique
+class RetryReason(Enum):
+    """Why a call was tried again at another backend server, or was not."""
+
+    UNREACHABLE = "retry-unreachable"
+    SHED = "retry-shed"
+    DRAINING = "retry-draining"
+    CONNECTION_LOST = "retry-connection-lost"
+    BUDGET_SPENT = "no-retry-budget-spent"
+    RATIO_SPENT = "no-retry-ratio-spent"
+    NOT_IDEMPOTENT = "no-retry-not-idempotent"
+
+
+HTTP_STATUS = {
+    Reason.BAD_REQUEST: 400,
+    Reason.TOO_LARGE: 413,
+    Reason.BAD_CONTEXT: 400,
+    Reason.NO_KEY: 401,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.KEY_WITHDRAWN: 401,
+    Reason.FORBIDDEN: 403,
+    Reason.NO_SERVICE: 404,
+    Reason.NO_ROUTE: 404,
+    Reason.OVER_RATE: 429,
+    Reason.SHED: 503,
+    Reason.QUEUE_FULL: 503,
+    Reason.BACKEND_SERVER_SHED: 503,
+    Reason.NO_BACKEND_SERVER: 503,
+    Reason.UNREACHABLE: 503,
+    Reason.CONNECTION_LOST: 502,
+    Reason.BROKEN_ANSWER: 502,
+    Reason.DEADLINE: 504,
+    Reason.CANCELLED: 499,
+    Reason.DUPLICATE: 409,
+    Reason.CLAIMS_UNAVAILABLE: 503,
+    Reason.CLAIMS_LOST: 503,
+    Reason.CLAIMS_FULL: 503,
+    Reason.POISON: 400,
+    Reason.DRAINING: 503,
+    Reason.TOO_DEEP: 400,
+    Reason.NO_CONFIGURATION: 503,
+    Reason.INTERNAL: 500,
+}
+"""HTTP status code of each refusal reason."""
