--- a/src/monsoonmill/codec.py
+++ b/src/monsoonmill/codec.py
@@ -1,21 +1,12 @@
-"""Encoding of typed messages for streams between processes."""
+"""Interfaces of the encodings; decisions know nothing beyond these."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
 
-from cattrs import BaseValidationError, Converter
-from cattrs.preconf.msgpack import make_converter
-from msgpack import Unpacker, packb
-from msgpack.exceptions import BufferFull, ExtraData, FormatError, StackError
-
-from monsoonmill.errors import (
-    FrameTooLargeError,
-    MalformedMessageError,
-    UnknownMessageError,
-)
+from monsoonmill.model import Config
 
 MAX_FRAME_BYTES = 1 << 20
-"""Largest frame that a stream accepts; larger bodies travel in chunks."""
+"""Largest frame that a stream accepts; larger messages travel in parts."""
 
 
 class FrameReader(ABC):
@@ -40,71 +31,23 @@
         """Return the frame of a message."""
 
     @abstractmethod
-    def reader(self) -> FrameReader:
+    def reader(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> FrameReader:
         """Return a reader for a new stream."""
 
 
-class MsgpackCodec(Codec):
-    """Frames of msgpack: an array of the type's name and its fields.
-
-    Parameters
-    ----------
-    types : iterable of type
-        The ``attrs`` classes that may travel; others are refused.
-    """
-
-    def __init__(self, types, max_frame_bytes=MAX_FRAME_BYTES):
-        self.types = {cls.__name__: cls for cls in types}
-        self.max_frame_bytes = max_frame_bytes
-        self.converter: Converter = make_converter()
+class ConfigCodec(ABC):
+    """Encodes a configuration for the platform's service."""
 
-    def encode(self, message: object) -> bytes:
-        """Return the frame of a message."""
-        cls = type(message)
-        fields = self.converter.unstructure(message, unstructure_as=cls)
-        return packb([cls.__name__, fields])
+    @abstractmethod
+    def encode(self, config: Config) -> bytes:
+        """Return the stored form of a configuration."""
 
-    def reader(self) -> "MsgpackFrameReader":
-        """Return a reader for a new stream."""
-        return MsgpackFrameReader(self)
-
-    def structure(self, frame: object) -> object:
-        """Build the message of one unpacked frame."""
-        if not isinstance(frame, list) or len(frame) != 2:
-            raise MalformedMessageError("a frame is no pair of a name and fields")
-        name, fields = frame
-        cls = self.types.get(name) if isinstance(name, str) else None
-        if cls is None:
-            raise UnknownMessageError(f"unknown message type {name!r}")
-        try:
-            return self.converter.structure(fields, cls)
-        except (BaseValidationError, TypeError, ValueError, KeyError) as exc:
-            raise MalformedMessageError(f"{name}: fields do not fit") from exc
-        except AttributeError as exc:
-            raise MalformedMessageError(f"{name}: fields are no map") from exc
-
-
-class MsgpackFrameReader(FrameReader):
-    """Incremental reader of ``MsgpackCodec`` frames."""
-
-    def __init__(self, codec: MsgpackCodec):
-        self._codec = codec
-        self._unpacker = Unpacker(
-            raw=False, max_buffer_size=codec.max_frame_bytes, strict_map_key=True
-        )
+    @abstractmethod
+    def decode(self, data: bytes) -> Config:
+        """Return the configuration of a stored form.
 
-    def feed(self, data: bytes) -> Iterator[object]:
-        """Yield the messages that ``data`` completes."""
-        try:
-            self._unpacker.feed(data)
-        except BufferFull as exc:
-            limit = self._codec.max_frame_bytes
-            raise FrameTooLargeError(f"a frame exceeds {limit} bytes") from exc
-        while True:
-            try:
-                frame = next(self._unpacker)
-            except StopIteration:
-                return
-            except (FormatError, StackError, ExtraData, ValueError, TypeError) as exc:
-                raise MalformedMessageError("bytes are no msgpack") from exc
-            yield self._codec.structure(frame)
+        Raises
+        ------
+        MalformedMessageError
+            The bytes are no configuration.
+        """
--- /dev/null
+++ b/src/monsoonmill/codec_msgpack.py
@@ -0,0 +1,81 @@
+"""Encoding of messages as msgpack, for streams between processes."""
+
+from collections.abc import Iterator
+
+from cattrs import BaseValidationError, Converter
+from cattrs.preconf.msgpack import make_converter
+from msgpack import Unpacker, packb
+from msgpack.exceptions import BufferFull, ExtraData, FormatError, StackError
+
+from monsoonmill.codec import MAX_FRAME_BYTES, Codec, FrameReader
+from monsoonmill.errors import (
+    FrameTooLargeError,
+    MalformedMessageError,
+    UnknownMessageError,
+)
+
+
+class MsgpackCodec(Codec):
+    """Frames of msgpack: an array of the type's name and its fields.
+
+    Parameters
+    ----------
+    types : iterable of type
+        The ``attrs`` classes that may travel; others are refused.
+    """
+
+    def __init__(self, types):
+        self.types = {cls.__name__: cls for cls in types}
+        self.converter: Converter = make_converter()
+
+    def encode(self, message: object) -> bytes:
+        """Return the frame of a message."""
+        cls = type(message)
+        fields = self.converter.unstructure(message, unstructure_as=cls)
+        return packb([cls.__name__, fields])
+
+    def reader(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> FrameReader:
+        """Return a reader for a new stream."""
+        return MsgpackFrameReader(self, max_frame_bytes)
+
+    def structure(self, frame: object) -> object:
+        """Build the message of one unpacked frame."""
+        if not isinstance(frame, list) or len(frame) != 2:
+            raise MalformedMessageError("a frame is no pair of a name and fields")
+        name, fields = frame
+        cls = self.types.get(name) if isinstance(name, str) else None
+        if cls is None:
+            raise UnknownMessageError(f"unknown message type {name!r}")
+        try:
+            return self.converter.structure(fields, cls)
+        except (BaseValidationError, TypeError, ValueError, KeyError) as exc:
+            raise MalformedMessageError(f"{name}: fields do not fit") from exc
+        except AttributeError as exc:
+            raise MalformedMessageError(f"{name}: fields are no map") from exc
+
+
+class MsgpackFrameReader(FrameReader):
+    """Incremental reader of ``MsgpackCodec`` frames."""
+
+    def __init__(self, codec: MsgpackCodec, max_frame_bytes: int):
+        self._codec = codec
+        self._max_frame_bytes = max_frame_bytes
+        self._unpacker = Unpacker(
+            raw=False, max_buffer_size=max_frame_bytes, strict_map_key=True
+        )
+
+    def feed(self, data: bytes) -> Iterator[object]:
+        """Yield the messages that ``data`` completes."""
+        try:
+            self._unpacker.feed(data)
+        except BufferFull as exc:
+            limit = self._max_frame_bytes
+            raise FrameTooLargeError(f"a frame exceeds {limit} bytes") from exc
+        while True:
+            try:
+                frame = next(self._unpacker)
+            except StopIteration:
+                return
+            except (FormatError, StackError, ExtraData, ValueError, TypeError) as exc:
+                raise MalformedMessageError("bytes are no msgpack") from exc
+            yield self._codec.structure(frame)
--- /dev/null
+++ b/src/monsoonmill/decisions/core.py
@@ -0,0 +1,144 @@
+"""All decisions of one node, behind one bus of signals."""
+
+from collections.abc import Callable, Iterator
+from itertools import count
+from random import Random
+
+from monsoonmill.codec import ConfigCodec
+from monsoonmill.counters import Counters
+from monsoonmill.decisions.authorization import Authorization
+from monsoonmill.decisions.calls import CallFlow
+from monsoonmill.decisions.configuration import ConfigRegister, ConfigView
+from monsoonmill.decisions.contexts import ContextTable
+from monsoonmill.decisions.decision import SignalBus
+from monsoonmill.decisions.draining import Draining
+from monsoonmill.decisions.executions import Executions
+from monsoonmill.decisions.membership import Membership
+from monsoonmill.decisions.policies import (
+    make_admission,
+    make_claims,
+    make_health,
+    make_poison,
+    make_quota,
+)
+from monsoonmill.decisions.routing import Router
+from monsoonmill.decisions.signals import StatusReport, StatusWanted
+from monsoonmill.decisions.watchers import WatcherChoice
+from monsoonmill.model import Address, Member
+from monsoonmill.settings import Settings
+
+
+class NodeCore:
+    """The decisions of a node: signals and the time in, signals out.
+
+    Parameters
+    ----------
+    address : Address
+        Where other nodes reach this one.
+    incarnation : int
+        Larger than that of any earlier process at this address.
+    make_token : callable
+        Returns a token that can't be guessed.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        address: Address,
+        incarnation: int,
+        codec: ConfigCodec,
+        make_token: Callable[[], str],
+    ):
+        node = cfg.node.name or str(address)
+        seed = cfg.node.random_seed or incarnation
+        rng = Random(f"{seed}/{node}")
+        own = Member(
+            node, incarnation, 1, address, cfg.node.region, cfg.node.data_centre
+        )
+        self.node = node
+        self.counters = Counters()
+        self.view = ConfigView()
+        self.register = ConfigRegister(cfg, self.view, codec, rng)
+        self.members = Membership(cfg, own, self.view, rng)
+        self.authorization = Authorization(self.view.config)
+        self.contexts = ContextTable(make_token)
+        self.health = make_health(cfg)
+        self.poison = make_poison(cfg, self.members, self.counters)
+        self.router = Router(self.members, self.health, rng)
+        self.quota = make_quota(cfg, self.members, self.view, rng, self.counters)
+        self.claims = make_claims(cfg, self.members, rng, self.counters)
+        self.admission = make_admission(cfg)
+        self.calls = CallFlow(
+            cfg,
+            node,
+            incarnation,
+            self.authorization,
+            self.router,
+            self.contexts,
+            self.poison,
+            self.counters,
+        )
+        self.executions = Executions(
+            self.authorization,
+            self.admission,
+            self.contexts,
+            self.poison,
+            self.counters,
+        )
+        self.draining = Draining(
+            cfg.drain, self.calls, self.executions, (self.claims,), self.counters
+        )
+        self.watchers = WatcherChoice(cfg, self.members, self.register)
+        self._numbers = count(1)
+        self._bus = SignalBus(
+            node,
+            (
+                self.register,
+                self.members,
+                self.authorization,
+                self.health,
+                self.poison,
+                self.router,
+                self.quota,
+                self.claims,
+                self.admission,
+                self.calls,
+                self.executions,
+                self.draining,
+                self.watchers,
+            ),
+        )
+
+    def start(self, now: float) -> Iterator[object]:
+        """Yield what has to be done first."""
+        for decision in self._bus.decisions:
+            for signal in list(decision.start(now)):
+                yield from self._bus.handle(signal, now)
+
+    def handle(self, signal: object, now: float) -> Iterator[object]:
+        """Yield the signals that tasks have to carry out."""
+        if isinstance(signal, StatusWanted):
+            yield StatusReport(signal.request, self.report(signal.topic))
+        else:
+            yield from self._bus.handle(signal, now)
+
+    def tick(self, now: float) -> Iterator[object]:
+        """Run all timers that are due."""
+        return self._bus.tick(now)
+
+    def next_due(self) -> float | None:
+        """Return when ``tick`` has something to do."""
+        return self._bus.next_due()
+
+    def report(self, topic: str) -> dict:
+        """Return a part of the state as plain data."""
+        if topic == "members":
+            return self.members.status()
+        if topic == "counters":
+            return self.counters.snapshot()
+        parts = {
+            type(part).__name__: part.status()
+            for part in self._bus.decisions
+            if part is not self.members
+        }
+        return {"node": self.node, **parts}
--- a/src/monsoonmill/decisions/decision.py
+++ b/src/monsoonmill/decisions/decision.py
@@ -21,6 +21,15 @@
     def handlers(self) -> Mapping[type, Handler]:
         """Return a handler for each type of signal that this part takes."""
 
+    def start(self, now: float) -> Iterable[object]:
+        """Yield what has to be done first."""
+        return ()
+
+    @property
+    def in_progress(self) -> int:
+        """Number of things that a graceful shutdown waits for."""
+        return 0
+
     def next_due(self) -> float | None:
         """Return when ``tick`` has something to do; None for never."""
         return None
--- /dev/null
+++ b/src/monsoonmill/decisions/executions.py
@@ -0,0 +1,298 @@
+"""Executions of calls at the own backend server."""
+
+from attrs import define, field
+from xxhash import xxh3_64_intdigest
+
+from monsoonmill.chart import ChartInstance, bind_methods
+from monsoonmill.counters import Counters
+from monsoonmill.decisions.admission import Admission
+from monsoonmill.decisions.authorization import Authorization
+from monsoonmill.decisions.contexts import ContextTable
+from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.poison import PoisonGuard
+from monsoonmill.decisions.signals import (
+    AbortRun,
+    AdmitCall,
+    Admitted,
+    BackendAnnounced,
+    BackendCrashed,
+    LeaveQueue,
+    NotAdmitted,
+    Received,
+    RunCall,
+    RunFailure,
+    RunFinished,
+    Send,
+    SlotReleased,
+)
+from monsoonmill.decisions.timers import Timers
+from monsoonmill.errors import RefusedError
+from monsoonmill.messages import Cancel, Forward, Reply
+from monsoonmill.model import Address, CallContext, HttpResponse
+from monsoonmill.reasons import Outcome, Reason
+
+NOT_RUN_HEADER = "monsoon-outcome"
+SHED_STATUS = 503
+ABORT_GRACE_S = 5.0
+"""An aborted run that does not end within this time is given up."""
+
+FAILURE_REASONS = {
+    RunFailure.NOT_SENT: (Outcome.NOT_RUN, Reason.UNREACHABLE),
+    RunFailure.TIMED_OUT: (Outcome.UNKNOWN, Reason.DEADLINE),
+    RunFailure.CONNECTION_LOST: (Outcome.UNKNOWN, Reason.CONNECTION_LOST),
+    RunFailure.BROKEN_ANSWER: (Outcome.UNKNOWN, Reason.BROKEN_ANSWER),
+    RunFailure.ABORTED: (Outcome.UNKNOWN, Reason.CANCELLED),
+}
+
+
+@define(eq=False)
+class Execution:
+    """One attempt at the own backend server; owner of its execution chart."""
+
+    sender: str
+    forward: Forward
+    deadline: float
+    executions: "Executions"
+    chart: ChartInstance | None = None
+    token: str = ""
+    started_at: float = 0.0
+    tries: int = 0
+    now: float = 0.0
+    out: list = field(factory=list)
+
+    def ask_for_slot(self, arg):
+        """Ask for a slot at the backend server."""
+        forward = self.forward
+        self.out.append(
+            AdmitCall(
+                forward.attempt,
+                forward.route,
+                forward.organisation,
+                forward.importance,
+                self.deadline,
+            )
+        )
+
+    def run(self, arg):
+        """Send the request to the backend server."""
+        self.started_at = self.now
+        forward = self.forward
+        context = CallContext(
+            forward.organisation,
+            forward.importance,
+            self.deadline,
+            forward.tries,
+            forward.depth,
+        )
+        self.token = self.executions.contexts.issue(context, forward.key)
+        address = self.executions.backend_address
+        timeout_s = self.deadline - self.now
+        self.out.append(
+            RunCall(forward.attempt, address, forward.request, timeout_s, self.token)
+        )
+
+    def reply_refused(self, refusal):
+        """Tell the sender that the attempt never ran."""
+        self._reply(Outcome.NOT_RUN, refusal.reason, None, refusal.retry_after_s)
+
+    def reply_expired_in_queue(self, arg):
+        """Tell the sender that the time was up before the attempt ran."""
+        self.leave_queue(arg)
+        self._reply(Outcome.NOT_RUN, Reason.DEADLINE)
+
+    def leave_queue(self, arg):
+        """Give up the place in the queue."""
+        self.out.append(LeaveQueue(self.forward.attempt))
+
+    def abort(self, arg):
+        """Stop the request at the backend server."""
+        self.out.append(AbortRun(self.forward.attempt))
+        self._close_context()
+
+    def abort_and_reply_expired(self, arg):
+        """Stop the request and tell the sender that the time is up."""
+        self.abort(arg)
+        self._reply(Outcome.UNKNOWN, Reason.DEADLINE)
+
+    def release_slot(self, finished: RunFinished):
+        """Give the slot back."""
+        self._close_context()
+        failure = finished.failure
+        response = finished.response
+        self.out.append(
+            SlotReleased(
+                self.forward.attempt,
+                self.now - self.started_at,
+                shed=response is not None and response.status == SHED_STATUS,
+                timed_out=failure in (RunFailure.TIMED_OUT, RunFailure.ABORTED),
+            )
+        )
+
+    def reply_finished(self, finished: RunFinished):
+        """Give the slot back and tell the sender how the request ended."""
+        self.release_slot(finished)
+        if finished.response is None:
+            self._reply(*FAILURE_REASONS[finished.failure], None)
+        elif _is_not_run(finished.response):
+            self._reply(Outcome.NOT_RUN, Reason.BACKEND_SERVER_SHED, None, 1.0)
+        else:
+            self._reply(Outcome.DONE, None, finished.response)
+
+    def _close_context(self):
+        if self.token:
+            self.tries = self.executions.contexts.close(self.token)
+            self.token = ""
+
+    def _reply(self, outcome, reason, response=None, retry_after_s=0.0):
+        body = response.body if response is not None else b""
+        reply = Reply(
+            self.forward.attempt,
+            outcome,
+            reason,
+            response,
+            xxh3_64_intdigest(body),
+            self.tries,
+            self.executions.admission.load(),
+            retry_after_s,
+        )
+        self.out.append(Send(self.sender, reply))
+
+
+EXECUTION_CHART = bind_methods("execution", Execution)
+
+
+def _is_not_run(response: HttpResponse) -> bool:
+    """Return whether a backend server says that it did not run a request."""
+    if response.status < 500:
+        return False
+    return any(
+        name.lower() == NOT_RUN_HEADER and value == Outcome.NOT_RUN.value
+        for name, value in response.headers
+    )
+
+
+class Executions(Decision):
+    """Runs what other nodes forward, at the own backend server."""
+
+    def __init__(
+        self,
+        authorization: Authorization,
+        admission: Admission,
+        contexts: ContextTable,
+        poison: PoisonGuard,
+        counters: Counters,
+    ):
+        self.admission = admission
+        self.contexts = contexts
+        self.backend_address: Address | None = None
+        self.draining = False
+        self._authorization = authorization
+        self._poison = poison
+        self._counters = counters
+        self._service = ""
+        self._executions: dict[str, Execution] = {}
+        self._timers = Timers()
+
+    def handlers(self):
+        """Return the handlers of this decision."""
+        return {
+            BackendAnnounced: self.on_backend_announced,
+            Forward: self.on_forward,
+            Cancel: self.on_cancel,
+            Admitted: self.on_admitted,
+            NotAdmitted: self.on_not_admitted,
+            RunFinished: self.on_run_finished,
+        }
+
+    @property
+    def in_progress(self) -> int:
+        """Number of attempts without a reply."""
+        return len(self._executions)
+
+    def next_due(self):
+        """Return when the next attempt's time is up."""
+        return self._timers.next_due()
+
+    def tick(self, now):
+        """End the attempts whose time is up."""
+        for attempt in self._timers.pop_due(now):
+            yield from self._send(attempt, "expire", now)
+
+    def on_backend_announced(self, signal, now):
+        """Remember where the backend server listens."""
+        self.backend_address = signal.address
+        self._service = signal.service
+        return ()
+
+    def on_forward(self, signal: Received, now):
+        """Check an attempt and queue it."""
+        forward = signal.message
+        if forward.attempt in self._executions:
+            self._counters.add("repeated-attempts")
+            return
+        deadline = now + forward.timeout_ms / 1000
+        execution = Execution(signal.node, forward, deadline, self, tries=forward.tries)
+        execution.chart = EXECUTION_CHART.start(execution)
+        self._executions[forward.attempt] = execution
+        self._timers.set(forward.attempt, deadline)
+        try:
+            self._check(forward)
+        except RefusedError as exc:
+            self._counters.add(exc.reason)
+            refusal = NotAdmitted(forward.attempt, exc.reason, exc.retry_after_s)
+            yield from self._send(forward.attempt, "refuse", now, refusal)
+            return
+        yield from self._send(forward.attempt, "accept", now)
+
+    def _check(self, forward):
+        if self.backend_address is None or forward.service != self._service:
+            raise RefusedError(Reason.NO_BACKEND_SERVER)
+        if self.draining:
+            raise RefusedError(Reason.DRAINING)
+        if forward.key and self._authorization.is_withdrawn(forward.key):
+            raise RefusedError(Reason.KEY_WITHDRAWN)
+        if self._poison.is_poison(forward.fingerprint):
+            raise RefusedError(Reason.POISON)
+
+    def on_cancel(self, signal, now):
+        """Stop an attempt that nobody waits for."""
+        execution = self._executions.get(signal.message.attempt)
+        if execution is not None and execution.sender == signal.node:
+            self._counters.add("cancelled-attempts")
+            yield from self._send(signal.message.attempt, "cancel", now)
+
+    def on_admitted(self, signal, now):
+        """Run an attempt that has a slot, unless its key has been withdrawn."""
+        yield from self._send(signal.attempt, "admitted", now)
+
+    def on_not_admitted(self, signal, now):
+        """Refuse an attempt that gets no slot."""
+        self._counters.add(signal.reason)
+        yield from self._send(signal.attempt, "not_admitted", now, signal)
+
+    def on_run_finished(self, signal, now):
+        """Reply with the end of a request."""
+        if signal.failure is RunFailure.CONNECTION_LOST:
+            yield BackendCrashed(tuple(self._running_fingerprints()))
+        yield from self._send(signal.attempt, "finished", now, signal)
+
+    def _running_fingerprints(self):
+        for execution in self._executions.values():
+            if execution.chart.is_in("running"):
+                yield execution.forward.fingerprint
+
+    def _send(self, attempt, event, now, arg=None):
+        execution = self._executions.get(attempt)
+        if execution is None:
+            return
+        execution.now = now
+        execution.chart.send(event, arg)
+        if execution.chart.finished:
+            del self._executions[attempt]
+            self._timers.cancel(attempt)
+        yield from execution.out
+        execution.out.clear()
+
+    def status(self):
+        """Return the number of attempts in progress."""
+        return {"in_progress": self.in_progress, "service": self._service}
--- /dev/null
+++ b/src/monsoonmill/decisions/quota.py
@@ -0,0 +1,26 @@
+"""Rates and bursts of organisations over the whole fleet."""
+
+from abc import abstractmethod
+
+from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.signals import TokenGiven, TokenWanted
+
+
+class Quota(Decision):
+    """Gives each call of an organisation a token, or denies it."""
+
+    @abstractmethod
+    def on_token_wanted(self, signal: TokenWanted, now: float):
+        """Yield ``TokenGiven`` or ``TokenDenied``, at once or later."""
+
+    def handlers(self):
+        """Return the handlers of this decision."""
+        return {TokenWanted: self.on_token_wanted}
+
+
+class UnlimitedQuota(Quota):
+    """Gives every call a token; the baseline to compare with."""
+
+    def on_token_wanted(self, signal: TokenWanted, now: float):
+        """Give the token at once."""
+        yield TokenGiven(signal.call)
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -8,7 +8,7 @@
 
 from attrs import frozen
 
-from monsoonmill.model import Address, Config, HttpRequest, HttpResponse
+from monsoonmill.model import Address, Config, HttpRequest, HttpResponse, Member
 from monsoonmill.reasons import Importance, Outcome, Reason
 
 
@@ -96,6 +96,15 @@
     address: Address
 
 
+@frozen
+class AddressLearned:
+    """Where a node is reached, and in which region."""
+
+    node: str
+    address: Address
+    region: str
+
+
 @frozen
 class PeerUp:
     """A stream to a node is open."""
@@ -206,6 +215,39 @@
     timed_out: bool
 
 
+@frozen
+class BackendCrashed:
+    """The backend server broke a connection while these requests ran.
+
+    Attributes
+    ----------
+    fingerprints : tuple of int
+        The requests that were at the backend server.
+    """
+
+    fingerprints: tuple[int, ...]
+
+
+@frozen
+class AttemptObserved:
+    """How an attempt at a node went, for the judgement of its health.
+
+    Attributes
+    ----------
+    elapsed_s : float
+        Time between the attempt's start and its end.
+    timed_out : bool
+        Whether the call's time was up before a reply came.
+    """
+
+    node: str
+    route: str
+    outcome: Outcome
+    reason: Reason | None
+    elapsed_s: float
+    timed_out: bool
+
+
 # Quotas.
 @frozen
 class TokenWanted:
@@ -302,6 +344,24 @@
     new: Config
 
 
+# Members.
+@frozen
+class MemberChanged:
+    """Another node's entry in the membership list changed."""
+
+    member: Member
+
+
+@frozen
+class MembersChanged:
+    """Some entries of the membership list changed."""
+
+
+@frozen
+class SelfLeaving:
+    """The own node begins to leave the fleet."""
+
+
 # Platform.
 @frozen
 class PlatformRead:
--- /dev/null
+++ b/src/monsoonmill/decisions/timers.py
@@ -0,0 +1,35 @@
+"""Timers of a decision: a heap of due times that can be cancelled."""
+
+from heapq import heappop, heappush
+from itertools import count
+
+
+class Timers:
+    """Due times by key; setting a key again replaces its time."""
+
+    def __init__(self):
+        self._heap = []
+        self._due = {}
+        self._order = count()
+
+    def set(self, key: object, due: float) -> None:
+        """Let ``key`` be due at a time."""
+        self._due[key] = due
+        heappush(self._heap, (due, next(self._order), key))
+
+    def cancel(self, key: object) -> None:
+        """Forget a key's time."""
+        self._due.pop(key, None)
+
+    def next_due(self) -> float | None:
+        """Return the earliest due time."""
+        while self._heap and self._due.get(self._heap[0][2]) != self._heap[0][0]:
+            heappop(self._heap)
+        return self._heap[0][0] if self._heap else None
+
+    def pop_due(self, now: float):
+        """Yield the keys that are due, earliest first, and forget them."""
+        while (due := self.next_due()) is not None and due <= now:
+            key = heappop(self._heap)[2]
+            del self._due[key]
+            yield key
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -29,6 +29,11 @@
     sequence: int
 
 
+@frozen
+class Goodbye:
+    """Last message on a stream; each end sends one before the stream closes."""
+
+
 @frozen
 class Part:
     """Piece of a large message's frame, sent between other messages.
@@ -289,6 +294,7 @@
     Hello,
     Ping,
     Pong,
+    Goodbye,
     Part,
     Forward,
     Reply,
--- /dev/null
+++ b/src/monsoonmill/node/admin.py
@@ -0,0 +1,84 @@
+"""Administration API of a node."""
+
+from tomllib import TOMLDecodeError, loads
+
+from cheroot.server import HTTPRequest
+
+from monsoonmill.codec import ConfigCodec
+from monsoonmill.decisions.configuration import ConfigView
+from monsoonmill.decisions.signals import DrainRequested, NoteAccepted
+from monsoonmill.errors import NoteError, PlatformError, StaleNoteError
+from monsoonmill.node.desk import NoAnswerError, NodeDesk
+from monsoonmill.node.web import App, Problem, WebRequest, WebResponse
+from monsoonmill.notes import parse_note
+
+TOPICS = {"/status": "status", "/members": "members", "/counters": "counters"}
+
+
+class AdminApp(App):
+    """Answers operators."""
+
+    def __init__(self, desk: NodeDesk, view: ConfigView, codec: ConfigCodec):
+        self._desk = desk
+        self._view = view
+        self._codec = codec
+
+    def respond(self, req: WebRequest, raw: HTTPRequest) -> WebResponse | None:
+        """Answer one request."""
+        try:
+            return self._route(req)
+        except NoAnswerError as exc:
+            return Problem(503, "no-answer", str(exc)).response()
+
+    def _route(self, req):
+        path = req.uri.partition("?")[0]
+        if req.method == "GET" and path in TOPICS:
+            return WebResponse.from_json(200, self._desk.status(TOPICS[path]))
+        if req.method == "GET" and path == "/config":
+            return self._config()
+        if req.method == "GET" and path == "/metrics":
+            return self._metrics()
+        if req.method == "POST" and path == "/notes":
+            return self._accept_note(req.body)
+        if req.method == "POST" and path == "/drain":
+            self._desk.post(DrainRequested())
+            return WebResponse.from_json(202, {"state": "draining"})
+        return Problem(404, "not-found", f"{req.method} {path}").response()
+
+    def _config(self):
+        # The view's configuration is immutable and replaced as a whole.
+        body = self._codec.encode(self._view.config)
+        return WebResponse(200, (("Content-Type", "application/json"),), body)
+
+    def _metrics(self):
+        counts = self._desk.status("counters")
+        lines = (
+            f'monsoon_events_total{{name="{name}"}} {value}\n'
+            for name, value in counts.items()
+        )
+        return WebResponse(
+            200,
+            (("Content-Type", "text/plain; version=0.0.4"),),
+            "".join(lines).encode(),
+        )
+
+    def _accept_note(self, body):
+        try:
+            note = parse_note(loads(body.decode()))
+        except (TOMLDecodeError, UnicodeDecodeError) as exc:
+            return Problem(400, "bad-note", f"no valid TOML: {exc}").response()
+        except NoteError as exc:
+            return Problem(400, "bad-note", str(exc)).response()
+        answer = self._desk.submit_note(note)
+        if isinstance(answer, NoteAccepted):
+            return WebResponse.from_json(200, {"revision": answer.revision})
+        return _refuse_note(answer.error)
+
+
+def _refuse_note(error):
+    if isinstance(error, StaleNoteError):
+        extra = {"current": error.current, "conflicts": list(error.conflicts)}
+        return Problem(409, "stale-note", str(error), extra).response()
+    if isinstance(error, PlatformError):
+        return Problem(503, "platform-unavailable", str(error)).response()
+    return Problem(400, "bad-note", str(error)).response()
--- /dev/null
+++ b/src/monsoonmill/node/program.py
@@ -0,0 +1,141 @@
+"""The ``monsoon-node`` program."""
+
+from secrets import token_hex
+from sys import setswitchinterval
+from threading import Thread
+from time import time_ns
+
+from monsoonmill.clock import SystemClock
+from monsoonmill.codec_json import JsonConfigCodec
+from monsoonmill.codec_msgpack import MsgpackCodec
+from monsoonmill.decisions.core import NodeCore
+from monsoonmill.decisions.signals import DrainRequested
+from monsoonmill.errors import SettingsError
+from monsoonmill.eventlog import get_logger
+from monsoonmill.messages import PEER_MESSAGES
+from monsoonmill.model import Address
+from monsoonmill.node.admin import AdminApp
+from monsoonmill.node.desk import NodeDesk
+from monsoonmill.node.ingress import BackendApp, CallApp
+from monsoonmill.node.task import NodeTask
+from monsoonmill.node.web import AppServer
+from monsoonmill.program import run_program, set_up_logs, stop_event
+from monsoonmill.settings import Settings
+
+log = get_logger("program")
+
+TOKEN_BYTES = 16
+ADMIN_THREADS = 3
+SWITCH_INTERVAL_S = 0.0005
+"""Longest time that a thread keeps the interpreter while another waits."""
+
+
+def read_incarnation() -> int:
+    """Return a number that is larger at each later start of a process."""
+    return time_ns() // 1_000_000
+
+
+class Node:
+    """A node process: its task and its front ends."""
+
+    def __init__(self, cfg: Settings):
+        self.cfg = cfg
+        config_codec = JsonConfigCodec()
+        address = Address(cfg.node.host, cfg.node.peer_port)
+        self.core = NodeCore(
+            cfg,
+            address,
+            read_incarnation(),
+            config_codec,
+            lambda: token_hex(TOKEN_BYTES),
+        )
+        codec = MsgpackCodec(PEER_MESSAGES)
+        self.task = NodeTask(cfg, self.core, codec, SystemClock())
+        desk = NodeDesk(self.task)
+        threads = cfg.http.crew_threads
+        self.servers = (
+            self._server(cfg.node.call_port, CallApp(desk), threads),
+            self._server(cfg.node.backend_port, BackendApp(desk), threads),
+            self._server(
+                cfg.node.admin_port,
+                AdminApp(desk, self.core.view, config_codec),
+                ADMIN_THREADS,
+            ),
+        )
+
+    @classmethod
+    def from_settings(cls, cfg: Settings) -> "Node":
+        """Return a node whose sockets are not open yet.
+
+        Raises
+        ------
+        SettingsError
+            A port of the node is in use.
+        """
+        try:
+            return cls(cfg)
+        except OSError as exc:
+            problem = f"{cfg.node.peer_port}: {exc.strerror}"
+            raise SettingsError("settings", "node.peer_port", problem) from exc
+
+    def _server(self, port, app, threads):
+        cfg = self.cfg
+        return AppServer(
+            cfg.node.host, port, app, threads, cfg.http, self.core.counters
+        )
+
+    def start(self) -> None:
+        """Open the ports and begin to serve.
+
+        Raises
+        ------
+        SettingsError
+            A port is in use.
+        """
+        for server in self.servers:
+            try:
+                server.prepare()
+            except OSError as exc:
+                port = server.bind_addr[1]
+                raise SettingsError("settings", "node", f"port {port}: {exc}") from exc
+            Thread(target=server.serve, daemon=True).start()
+        self.task.start()
+
+    def drain(self) -> None:
+        """Leave the fleet and wait until nothing is in progress."""
+        self.task.post(DrainRequested())
+        drain = self.cfg.drain
+        self.task.drained.wait(drain.limit_s + drain.settle_ms / 1000 + 1)
+
+    def stop(self) -> None:
+        """End the task and close the ports."""
+        for server in self.servers:
+            server.stop()
+        self.task.stop()
+        self.task.join(1.0)
+
+
+def serve(config: str | None = None) -> None:
+    """Run a node until SIGTERM, which drains it.
+
+    Parameters
+    ----------
+    config : str, optional
+        Settings file in TOML that overlays the defaults.
+    """
+    cfg = Settings.from_file(config)
+    set_up_logs(cfg.node.log_level)
+    setswitchinterval(SWITCH_INTERVAL_S)
+    stopped = stop_event()
+    node = Node.from_settings(cfg)
+    node.start()
+    log.info("started", node=node.core.node)
+    print(f"ready {cfg.node.call_port}", flush=True)
+    stopped.wait()
+    node.drain()
+    node.stop()
+
+
+def main() -> None:
+    """Run the command line."""
+    run_program(serve, "monsoon-node")
--- /dev/null
+++ b/src/monsoonmill/node/task.py
@@ -0,0 +1,213 @@
+"""The node's task: it owns the decisions and the streams to other nodes."""
+
+from collections.abc import Iterable
+from queue import Empty, SimpleQueue
+from selectors import EVENT_READ, DefaultSelector
+from threading import Event
+
+from attrs import frozen
+
+from monsoonmill.clock import Clock
+from monsoonmill.codec import Codec
+from monsoonmill.decisions.core import NodeCore
+from monsoonmill.decisions.signals import (
+    AbortRun,
+    AddressLearned,
+    Answer,
+    Connect,
+    Drained,
+    NoteAccepted,
+    NoteRefused,
+    PlatformLease,
+    PlatformList,
+    PlatformRead,
+    PlatformSwap,
+    PlatformWatch,
+    RunCall,
+    Send,
+    StatusReport,
+)
+from monsoonmill.eventlog import get_logger
+from monsoonmill.messages import Hello
+from monsoonmill.node.egress import Idle, RunPool
+from monsoonmill.node.peers import PeerSockets
+from monsoonmill.node.wake import Wake
+from monsoonmill.platform.client import HttpPlatformClient, PlatformTask
+from monsoonmill.settings import Settings
+from monsoonmill.task import Inbox, Stop, Task
+
+log = get_logger("node")
+
+
+@frozen
+class Ask:
+    """A signal whose answer goes to an inbox.
+
+    Attributes
+    ----------
+    name : str
+        The call or request that the answer will name.
+    """
+
+    name: str
+    signal: object
+    reply: Inbox
+
+
+class NodeTask(Task):
+    """Waits for streams, messages and timers, and drives the decisions.
+
+    Attributes
+    ----------
+    drained : threading.Event
+        Set when nothing is in progress after a drain.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        core: NodeCore,
+        codec: Codec,
+        clock: Clock,
+    ):
+        super().__init__("node")
+        self.drained = Event()
+        self._cfg = cfg
+        self._core = core
+        self._clock = clock
+        self._platform = self._platform_task("platform")
+        self._watch = self._platform_task("platform-watch")
+        self._run_pool = RunPool(cfg.http, clock, self.post)
+        self._replies: dict[str, Inbox] = {}
+        self._queue = SimpleQueue()
+        self._wake = Wake()
+        self._selector = DefaultSelector()
+        self._selector.register(self._wake.reader, EVENT_READ, None)
+        own = core.members.own
+        self._peers = PeerSockets(
+            cfg,
+            Hello(own.node, own.incarnation, own.address),
+            codec,
+            self._selector,
+            core.counters,
+            clock.now(),
+        )
+        self._tasks = {
+            Answer: self._answer_call,
+            NoteAccepted: self._answer_request,
+            NoteRefused: self._answer_request,
+            StatusReport: self._answer_request,
+            RunCall: self._run_call,
+            AbortRun: self._abort_run,
+            PlatformRead: self._call_platform,
+            PlatformSwap: self._call_platform,
+            PlatformLease: self._call_platform,
+            PlatformList: self._call_platform,
+            PlatformWatch: self._watch_platform,
+            AddressLearned: self._learn_address,
+            Drained: self._tell_drained,
+        }
+
+    def _platform_task(self, name):
+        client = HttpPlatformClient.from_settings(self._cfg.platform)
+        return PlatformTask(name, client, self._clock, self.post)
+
+    def post(self, message: object) -> None:
+        """Send the task a message and wake it."""
+        self._queue.put(message)
+        self._wake.set()
+
+    def run(self) -> None:
+        """Drive the decisions until a ``Stop`` message arrives."""
+        self._platform.start()
+        self._watch.start()
+        now = self._clock.now()
+        self._carry_out(self._core.start(now), now)
+        while self._step():
+            pass
+        self._peers.close()
+        self._wake.close()
+
+    def _step(self):
+        ready = self._selector.select(self._wait_s())
+        now = self._clock.now()
+        for key, mask in ready:
+            if key.data is None:
+                self._wake.clear()
+            elif key.data is self._peers:
+                self._peers.on_accept(now)
+            else:
+                self._handle_all(self._peers.on_ready(key.data, mask, now), now)
+        is_running = self._drain_queue(now)
+        self._carry_out(self._core.tick(now), now)
+        self._handle_all(self._peers.tick(now), now)
+        self._handle_all(self._peers.flush(now), now)
+        return is_running
+
+    def _wait_s(self):
+        due = self._peers.next_due()
+        core_due = self._core.next_due()
+        if core_due is not None:
+            due = min(due, core_due)
+        return max(due - self._clock.now(), 0.0)
+
+    def _drain_queue(self, now):
+        for _ in range(self._queue.qsize()):
+            try:
+                message = self._queue.get_nowait()
+            except Empty:
+                return True
+            if isinstance(message, Stop):
+                return False
+            if isinstance(message, Ask):
+                self._replies[message.name] = message.reply
+                message = message.signal
+            elif isinstance(message, Idle):
+                self._run_pool.on_idle(message)
+                message = message.finished
+            self._carry_out(self._core.handle(message, now), now)
+        return True
+
+    def _handle_all(self, signals: Iterable[object], now):
+        for signal in signals:
+            self._carry_out(self._core.handle(signal, now), now)
+
+    def _carry_out(self, signals: Iterable[object], now):
+        for signal in signals:
+            cls = type(signal)
+            if cls is Send:
+                sent = self._peers.send(signal.node, signal.message, now)
+                self._handle_all(sent, now)
+            elif cls is Connect:
+                self._peers.connect(signal.address, now)
+            elif cls in self._tasks:
+                self._tasks[cls](signal)
+
+    def _answer_call(self, answer):
+        reply = self._replies.pop(answer.call, None)
+        if reply is not None:
+            reply.post(answer)
+
+    def _answer_request(self, signal):
+        reply = self._replies.pop(signal.request, None)
+        if reply is not None:
+            reply.post(signal)
+
+    def _run_call(self, signal):
+        self._run_pool.run(signal)
+
+    def _abort_run(self, signal):
+        self._run_pool.abort(signal.attempt)
+
+    def _call_platform(self, signal):
+        self._platform.post(signal)
+
+    def _watch_platform(self, signal):
+        self._watch.post(signal)
+
+    def _learn_address(self, signal):
+        self._peers.learn(signal.node, signal.address, signal.region)
+
+    def _tell_drained(self, signal):
+        log.info("drained")
+        self.drained.set()
--- /dev/null
+++ b/src/monsoonmill/node/web.py
@@ -0,0 +1,185 @@
+"""HTTP front ends on cheroot: one gateway class for each port."""
+
+from abc import ABC, abstractmethod
+from http import HTTPStatus
+from json import dumps
+
+from attrs import field, frozen
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+
+from monsoonmill.counters import Counters
+from monsoonmill.settings import HttpSettings
+
+PROBLEM_TYPE = "application/problem+json"
+JSON_TYPE = "application/json"
+QUEUE_LENGTH = 1024
+SHUTDOWN_TIMEOUT_S = 2
+
+
+@frozen
+class WebRequest:
+    """A request that has been read completely.
+
+    Attributes
+    ----------
+    headers : tuple of pairs
+        Names in lower case.
+    """
+
+    method: str
+    uri: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name: str) -> str:
+        """Return a header's value; empty if it is missing."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return ""
+
+
+@frozen
+class WebResponse:
+    """A response with its whole body."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+    @classmethod
+    def from_json(cls, status: int, doc: object) -> "WebResponse":
+        """Return a response that carries a JSON document."""
+        body = dumps(doc).encode()
+        return cls(status, (("Content-Type", JSON_TYPE),), body)
+
+
+@frozen
+class Problem:
+    """A failure in the form of RFC 9457."""
+
+    status: int
+    title: str
+    detail: str = ""
+    extra: dict = field(factory=dict)
+
+    def response(self, headers: tuple[tuple[str, str], ...] = ()) -> WebResponse:
+        """Return the response that carries the problem."""
+        doc = {
+            "type": "about:blank",
+            "title": self.title,
+            "status": self.status,
+            "detail": self.detail,
+            **self.extra,
+        }
+        content_type = ("Content-Type", PROBLEM_TYPE)
+        return WebResponse(self.status, (content_type, *headers), dumps(doc).encode())
+
+
+class App(ABC):
+    """Answers the requests of one port."""
+
+    @abstractmethod
+    def respond(self, req: WebRequest, raw: HTTPRequest) -> WebResponse | None:
+        """Return the response; None closes the connection without one."""
+
+
+class CountingRequest(HTTPRequest):
+    """Counts the requests that cheroot refuses by itself."""
+
+    def simple_response(self, status, msg=""):
+        """Write a refusal of cheroot's own and count it."""
+        code = str(status).split(" ", 1)[0]
+        self.server.counters.add("too-large" if code == "413" else "bad-request")
+        super().simple_response(status, msg)
+
+
+class CountingConnection(HTTPConnection):
+    """A connection whose refused requests are counted."""
+
+    RequestHandlerClass = CountingRequest
+
+
+class AppGateway(Gateway):
+    """Reads a request, asks the server's app, and writes the response."""
+
+    def respond(self):
+        """Answer one request."""
+        response = self.req.server.app.respond(self._read(), self.req)
+        if response is None:
+            self.req.close_connection = True
+            return
+        self._write(response)
+
+    def _read(self):
+        req = self.req
+        headers = tuple(
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in req.inheaders.items()
+        )
+        has_body = b"Content-Length" in req.inheaders or req.chunked_read
+        body = req.rfile.read() if has_body else b""
+        return WebRequest(
+            req.method.decode("latin-1"), req.uri.decode("latin-1"), headers, body
+        )
+
+    def _write(self, response):
+        req = self.req
+        phrase = _phrase(response.status)
+        req.status = f"{response.status} {phrase}".encode("latin-1")
+        req.outheaders = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in response.headers
+        ]
+        length = str(len(response.body)).encode()
+        req.outheaders.append((b"Content-Length", length))
+        req.send_headers()
+        if req.method != b"HEAD" and response.body:
+            req.write(response.body)
+
+
+def _phrase(status):
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unassigned"
+
+
+class AppServer(HTTPServer):
+    """A cheroot server for one app."""
+
+    ConnectionClass = CountingConnection
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        app: App,
+        threads: int,
+        cfg: HttpSettings,
+        counters: Counters,
+    ):
+        super().__init__(
+            (host, port),
+            gateway=AppGateway,
+            minthreads=threads,
+            maxthreads=threads,
+            server_name="monsoon-node",
+        )
+        self.app = app
+        self.counters = counters
+        self.request_queue_size = QUEUE_LENGTH
+        self.timeout = cfg.idle_connection_s
+        self.keep_alive_conn_limit = None
+        self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
+        self.max_request_header_size = cfg.max_header_bytes
+        self.max_request_body_size = cfg.max_body_bytes
+
+    @property
+    def port(self) -> int:
+        """Port that the server listens on, once it is prepared."""
+        return self.bind_addr[1]
+
+    def error_log(self, msg="", level=20, traceback=False):
+        """Count what cheroot reports instead of printing it."""
+        self.counters.add("http-errors")
--- /dev/null
+++ b/tests/configs.py
@@ -0,0 +1,31 @@
+"""Configurations that tests share."""
+
+from monsoonmill.model import Config, Key, Organisation, Route, Service
+from monsoonmill.notes import digest_key
+from monsoonmill.reasons import Importance
+
+SECRET = "secret-of-branch"
+
+
+def small_config(rate=1000.0, burst=1000.0, revision=1):
+    """Return one organisation, one service and a route of each sort."""
+    routes = (
+        Route("lookup", "donkeys", "/lookup", idempotent=True),
+        Route("open", "donkeys", "/open", idempotent=True, open=True),
+        Route("background", "donkeys", "/bg", (), Importance.BACKGROUND, True),
+        Route(
+            "pledge",
+            "donkeys",
+            "/pledges",
+            ("POST",),
+            Importance.CRITICAL,
+            at_most_once=True,
+        ),
+    )
+    return Config(
+        revision=revision,
+        organisations={"branch": Organisation("branch", rate, burst)},
+        keys={"k1": Key("k1", "branch", digest_key(SECRET))},
+        services={"donkeys": Service("donkeys")},
+        routes={one.name: one for one in routes},
+    )
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,291 @@
+"""Small fake of what surrounds the decisions: a network, a platform, a clock.
+
+Tests drive whole ``NodeCore`` objects with it, without sockets or threads.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from monsoonmill.codec_json import JsonConfigCodec
+from monsoonmill.decisions import signals
+from monsoonmill.decisions.core import NodeCore
+from monsoonmill.errors import PlatformError, PlatformUnavailableError
+from monsoonmill.model import Address, Config, HttpRequest, HttpResponse
+from monsoonmill.platform.store import Store
+from monsoonmill.settings import Settings
+
+LATENCY_S = 0.001
+WATCH_S = 10.0
+PLATFORM_CALLS = (
+    signals.PlatformRead,
+    signals.PlatformSwap,
+    signals.PlatformLease,
+    signals.PlatformList,
+    signals.PlatformWatch,
+)
+
+
+class FakePlatform:
+    """The platform's store with outages and lost answers."""
+
+    def __init__(self):
+        self.store = Store()
+        self.is_down = False
+        self.loses_answers = False
+        self.calls = 0
+
+    def perform(self, signal, now):
+        """Return the answer's signal, or None for a watch that has to wait."""
+        self.calls += 1
+        if self.is_down:
+            return self._fail(signal, "down")
+        try:
+            entries = self._entries(signal, now)
+        except PlatformError as exc:
+            return signals.PlatformFailed(signal.request, exc)
+        if self.loses_answers:
+            return self._fail(signal, "answer lost")
+        values = tuple(
+            signals.StoredValue(one.key, one.version, one.value) for one in entries
+        )
+        return signals.PlatformDone(signal.request, values, now)
+
+    def _fail(self, signal, problem):
+        return signals.PlatformFailed(signal.request, PlatformUnavailableError(problem))
+
+    def _entries(self, signal, now):
+        store = self.store
+        if isinstance(signal, signals.PlatformSwap):
+            return [
+                store.swap(signal.key, signal.expected, signal.value, signal.lease, now)
+            ]
+        if isinstance(signal, signals.PlatformLease):
+            store.grant(signal.lease, signal.ttl_s, now)
+            return []
+        if isinstance(signal, signals.PlatformList):
+            return list(store.list_keys(signal.prefix, now))
+        return [store.read(signal.key, now)]
+
+
+class FakeNode:
+    """A core and what it has sent to its tasks."""
+
+    def __init__(self, core: NodeCore, address: Address):
+        self.core = core
+        self.address = address
+        self.is_up = True
+        self.answers: dict[str, signals.Answer] = {}
+        self.reports: dict[str, object] = {}
+        self.drained = False
+
+    @property
+    def name(self):
+        return self.core.node
+
+
+class FakeFleet:
+    """Nodes, links, a platform and backend servers on one virtual clock.
+
+    Parameters
+    ----------
+    run : callable
+        Takes a node and a ``RunCall``; returns the delay in seconds and the
+        ``RunFinished``. Returns None for a request that never ends.
+    """
+
+    def __init__(self, run: Callable | None = None, seed=1, now=1000.0, **sections):
+        self.now = now
+        self.platform = FakePlatform()
+        self.nodes: dict[str, FakeNode] = {}
+        self.sections = sections
+        self.executed: list[tuple[str, signals.RunCall]] = []
+        self.cut: set[frozenset] = set()
+        self.latency_s = LATENCY_S
+        self._run = run or answer_ok
+        self._rng = Random(seed)
+        self._numbers = count(1)
+        self._queue = []
+        self._watches = deque()
+
+    def add(self, region="region-1", data_centre="dc-1", service="", slots=8, port=0):
+        """Start a node, with a backend server of a service beside it."""
+        port = port or 7000 + next(self._numbers)
+        seeds = [str(node.address) for node in self.nodes.values()][:2]
+        own = {
+            "host": "127.0.0.1",
+            "peer_port": port,
+            "region": region,
+            "data_centre": data_centre,
+            "seeds": seeds,
+            "random_seed": self._rng.randrange(1, 10**9),
+        }
+        cfg = Settings.from_dict({"node": own, **self.sections})
+        address = Address("127.0.0.1", port)
+        numbers = count(1)
+        core = NodeCore(
+            cfg,
+            address,
+            int(self.now * 1000),
+            JsonConfigCodec(),
+            lambda: f"{address}-{next(numbers)}",
+        )
+        node = FakeNode(core, address)
+        self.nodes[node.name] = node
+        self._take(node, core.start(self.now))
+        if service:
+            self.announce(node, service, slots)
+        return node
+
+    def announce(self, node, service, slots=8, draining=False):
+        """Let the backend server announce itself, again and again."""
+        if not node.is_up or getattr(node, "backend_gone", False):
+            return
+        announced = signals.BackendAnnounced(
+            service, Address("127.0.0.1", node.address.port + 1000), slots, draining
+        )
+        self.give(node, announced)
+        self._later(1.0, lambda: self.announce(node, service, slots, draining))
+
+    def kill(self, node):
+        """End a node without a word."""
+        node.is_up = False
+        del self.nodes[node.name]
+        for other in list(self.nodes.values()):
+            self._later(
+                self.latency_s,
+                lambda other=other: self.give(other, signals.PeerDown(node.name)),
+            )
+
+    def call(self, node, service, path="/", method="GET", **fields):
+        """Hand a call in and return its name."""
+        name = f"call-{next(self._numbers)}"
+        body = fields.pop("body", b"")
+        req = HttpRequest(method, path, (), body)
+        self.give(node, signals.CallArrived(name, service, req, **fields))
+        return name
+
+    def give(self, node, signal):
+        """Give a node's core a signal now."""
+        if node.is_up:
+            self._take(node, node.core.handle(signal, self.now))
+
+    def advance(self, seconds):
+        """Let time pass; everything due happens in order."""
+        end = self.now + seconds
+        while True:
+            due = self._next_due()
+            if due is None or due > end:
+                break
+            self.now = max(due, self.now)
+            while self._queue and self._queue[0][0] <= self.now:
+                heappop(self._queue)[2]()
+            for node in list(self.nodes.values()):
+                node_due = node.core.next_due()
+                if node_due is not None and node_due <= self.now:
+                    self._take(node, node.core.tick(self.now))
+        self.now = end
+
+    def advance_until(self, condition, limit_s=30.0, step_s=0.05):
+        """Let time pass until a condition holds; return whether it did."""
+        end = self.now + limit_s
+        while self.now < end:
+            if condition():
+                return True
+            self.advance(step_s)
+        return condition()
+
+    def install(self, config: Config):
+        """Put a configuration into the platform, as an accepted note would."""
+        stored = self.platform.store.read("config", self.now)
+        value = JsonConfigCodec().encode(config)
+        self.platform.store.swap("config", stored.version, value, "", self.now)
+
+    def _next_due(self):
+        times = [node.core.next_due() for node in self.nodes.values()]
+        if self._queue:
+            times.append(self._queue[0][0])
+        return min((one for one in times if one is not None), default=None)
+
+    def _later(self, delay_s, action):
+        heappush(self._queue, (self.now + delay_s, next(self._numbers), action))
+
+    def _take(self, node, produced):
+        for signal in produced:
+            self._carry_out(node, signal)
+
+    def _carry_out(self, node, signal):
+        if isinstance(signal, signals.Send):
+            self._send(node, signal)
+        elif isinstance(signal, signals.Connect):
+            self._later(self.latency_s, lambda: self._connect(node, signal.address))
+        elif isinstance(signal, signals.Answer):
+            node.answers[signal.call] = signal
+        elif isinstance(signal, signals.RunCall):
+            self._run_call(node, signal)
+        elif isinstance(signal, signals.AbortRun):
+            aborted = signals.RunFinished(
+                signal.attempt, None, signals.RunFailure.ABORTED
+            )
+            self._later(LATENCY_S, lambda: self.give(node, aborted))
+        elif isinstance(signal, PLATFORM_CALLS):
+            self._later(LATENCY_S, lambda: self._call_platform(node, signal, WATCH_S))
+        elif isinstance(signal, signals.Drained):
+            node.drained = True
+        elif hasattr(signal, "request"):
+            node.reports[signal.request] = signal
+
+    def _send(self, node, signal):
+        other = self.nodes.get(signal.node)
+        if other is None:
+            lost = signals.PeerUnreachable(signal.node, signal.message)
+            self._later(self.latency_s, lambda: self.give(node, lost))
+            return
+        received = signals.Received(node.name, signal.message)
+        self._later(self.latency_s, lambda: self._deliver(node, other, received))
+
+    def _deliver(self, node, other, received):
+        # A cut link swallows what is on its way, like a silent connection.
+        if frozenset((node.name, other.name)) not in self.cut and other.is_up:
+            self.give(other, received)
+
+    def _connect(self, node, address):
+        for other in list(self.nodes.values()):
+            is_cut = frozenset((node.name, other.name)) in self.cut
+            if other.address == address and other is not node and not is_cut:
+                self._greet(node, other)
+                self._greet(other, node)
+
+    def _greet(self, node, other):
+        own = other.core.members.own
+        up = signals.PeerUp(own.node, own.incarnation, own.address)
+        self.give(node, up)
+
+    def _run_call(self, node, call):
+        self.executed.append((node.name, call))
+        result = self._run(node, call)
+        if result is not None:
+            delay_s, finished = result
+            self._later(delay_s, lambda: self.give(node, finished))
+
+    def _call_platform(self, node, signal, wait_s):
+        is_watch = isinstance(signal, signals.PlatformWatch)
+        answer = self.platform.perform(signal, self.now)
+        if is_watch and isinstance(answer, signals.PlatformDone):
+            if answer.values[0].version <= signal.after:
+                if wait_s > 0:
+                    self.platform.calls -= 1
+                    self._later(
+                        0.05, lambda: self._call_platform(node, signal, wait_s - 0.05)
+                    )
+                    return
+                answer = signals.PlatformDone(signal.request, (), self.now)
+        self._later(LATENCY_S, lambda: self.give(node, answer))
+
+
+def answer_ok(node, call, delay_s=0.01):
+    """Return the end of a request that goes well."""
+    response = HttpResponse(200, (), b"ok " + call.request.path.encode())
+    return delay_s, signals.RunFinished(call.attempt, response, None)
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,87 @@
+"""A call's way through the decisions of several nodes."""
+
+from monsoonmill.decisions.signals import DrainRequested, RunFailure, RunFinished
+from monsoonmill.reasons import Outcome, Reason
+from tests.configs import SECRET, small_config
+from tests.fleet import FakeFleet, answer_ok
+
+
+def make_fleet(size=4, **options):
+    fleet = FakeFleet(**options)
+    fleet.install(small_config())
+    nodes = [fleet.add(service="donkeys") for _ in range(size)]
+    assert fleet.advance_until(lambda: all(knows_all(node, size) for node in nodes))
+    return fleet, nodes
+
+
+def knows_all(node, size):
+    members = [one for one in node.core.members.live() if one.accepts_calls]
+    return len(members) == size and node.core.view.config.revision == 1
+
+
+def test_call_reaches_a_backend_server_and_its_answer_the_caller():
+    fleet, nodes = make_fleet()
+    name = fleet.call(nodes[0], "donkeys", "/lookup/1", bearer=SECRET)
+    fleet.advance(1)
+    answer = nodes[0].answers[name]
+    assert answer.outcome is Outcome.DONE
+    assert answer.response.body == b"ok /lookup/1"
+
+
+def test_call_without_a_key_is_refused_and_never_runs():
+    fleet, nodes = make_fleet()
+    name = fleet.call(nodes[0], "donkeys", "/lookup/1")
+    fleet.advance(1)
+    assert nodes[0].answers[name].reason is Reason.NO_KEY
+    assert fleet.executed == []
+
+
+def test_lost_answer_of_a_pledge_is_unknown_and_not_tried_again():
+    def lose(node, call):
+        return 0.01, RunFinished(call.attempt, None, RunFailure.CONNECTION_LOST)
+
+    fleet, nodes = make_fleet(run=lose)
+    name = fleet.call(nodes[0], "donkeys", "/pledges", "POST", bearer=SECRET)
+    fleet.advance(1)
+    assert nodes[0].answers[name].outcome is Outcome.UNKNOWN
+    assert len(fleet.executed) == 1
+
+
+def test_lost_answer_of_a_lookup_is_tried_again_elsewhere():
+    lost = []
+
+    def lose_once(node, call):
+        if not lost:
+            lost.append(node.name)
+            return 0.01, RunFinished(call.attempt, None, RunFailure.CONNECTION_LOST)
+        return answer_ok(node, call)
+
+    fleet, nodes = make_fleet(run=lose_once)
+    name = fleet.call(nodes[0], "donkeys", "/lookup/1", bearer=SECRET)
+    fleet.advance(1)
+    assert nodes[0].answers[name].outcome is Outcome.DONE
+    assert [node for node, _ in fleet.executed][1] != lost[0]
+
+
+def test_draining_node_finishes_its_calls_and_gets_no_new_ones():
+    fleet, nodes = make_fleet()
+    leaver = nodes[1]
+    fleet.give(leaver, DrainRequested())
+    fleet.advance(3)
+    assert leaver.drained
+    before = len(fleet.executed)
+    for number in range(20):
+        fleet.call(nodes[0], "donkeys", f"/lookup/{number}", bearer=SECRET)
+    fleet.advance(1)
+    ran_at = {node for node, _ in fleet.executed[before:]}
+    assert leaver.name not in ran_at
+    assert len(fleet.executed) - before == 20
+
+
+def test_dead_node_is_noticed_by_all():
+    fleet, nodes = make_fleet()
+    fleet.kill(nodes[2])
+    others = [node for node in nodes if node.is_up]
+    assert fleet.advance_until(
+        lambda: all(len(list(node.core.members.live())) == 3 for node in others)
+    )
