--- /dev/null
+++ b/src/monsoonmill/platform/calls.py
@@ -0,0 +1,194 @@
+"""Messages between the stand-in's HTTP threads and the task with its store."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import ClassVar
+
+from attrs import frozen
+
+from monsoonmill.errors import PlatformError
+from monsoonmill.platform.standin_settings import FaultSettings
+from monsoonmill.platform.store import Entry, Store
+
+
+@frozen
+class Found:
+    """State of one key."""
+
+    entry: Entry
+
+
+@frozen
+class Listed:
+    """States of the keys with a prefix."""
+
+    entries: tuple[Entry, ...]
+
+
+@frozen
+class Unchanged:
+    """A watch's time was up without a change."""
+
+
+@frozen
+class Granted:
+    """A lease was granted or renewed."""
+
+
+@frozen
+class Failed:
+    """A call was refused."""
+
+    error: PlatformError
+
+
+@frozen
+class Dropped:
+    """The connection is closed without an answer."""
+
+
+@frozen
+class Report:
+    """Plain data for the control endpoint."""
+
+    content: dict
+
+
+Reply = Callable[[object], None]
+
+
+class StoreCall(ABC):
+    """A call of the key-value service.
+
+    Attributes
+    ----------
+    kind : str
+        Name that the call is counted under.
+    changes : bool
+        Whether the call counts as a write.
+    """
+
+    kind: ClassVar[str]
+    changes: ClassVar[bool] = False
+
+    @abstractmethod
+    def run(self, store: Store, now: float, reply: Reply) -> None:
+        """Carry out the call and reply, now or later.
+
+        Raises
+        ------
+        PlatformError
+            The store refuses the call.
+        """
+
+
+@frozen
+class ReadCall(StoreCall):
+    """Read one key."""
+
+    kind = "read"
+    key: str
+
+    def run(self, store: Store, now: float, reply: Reply) -> None:
+        """Reply with the key's state."""
+        reply(Found(store.read(self.key, now)))
+
+
+@frozen
+class WatchCall(StoreCall):
+    """Wait for a change of one key."""
+
+    kind = "watch"
+    key: str
+    after: int
+    wait_s: float
+
+    def run(self, store: Store, now: float, reply: Reply) -> None:
+        """Leave the reply with the store until the key changes."""
+        store.watch(self.key, self.after, now + self.wait_s, reply, now)
+
+
+@frozen
+class ListCall(StoreCall):
+    """Read all keys with a prefix."""
+
+    kind = "list"
+    prefix: str
+
+    def run(self, store: Store, now: float, reply: Reply) -> None:
+        """Reply with the keys' states."""
+        reply(Listed(tuple(store.list_keys(self.prefix, now))))
+
+
+@frozen
+class PutCall(StoreCall):
+    """Write a key that has the expected version."""
+
+    kind = "put"
+    changes = True
+    key: str
+    expected: int
+    value: bytes
+    lease: str = ""
+
+    def run(self, store: Store, now: float, reply: Reply) -> None:
+        """Reply with the key's new state."""
+        entry = store.swap(self.key, self.expected, self.value, self.lease, now)
+        reply(Found(entry))
+
+
+@frozen
+class DeleteCall(StoreCall):
+    """Remove a key that has the expected version."""
+
+    kind = "delete"
+    changes = True
+    key: str
+    expected: int
+
+    def run(self, store: Store, now: float, reply: Reply) -> None:
+        """Reply with the key's new state."""
+        reply(Found(store.swap(self.key, self.expected, None, "", now)))
+
+
+@frozen
+class LeaseCall(StoreCall):
+    """Grant or renew a lease."""
+
+    kind = "lease"
+    changes = True
+    lease: str
+    ttl_s: float
+
+    def run(self, store: Store, now: float, reply: Reply) -> None:
+        """Reply that the lease is granted."""
+        store.grant(self.lease, self.ttl_s, now)
+        reply(Granted())
+
+
+@frozen
+class CallArrived:
+    """A call of the service with the way back to the waiting thread."""
+
+    call: StoreCall
+    reply: Reply
+
+
+@frozen
+class ModeRequested:
+    """Asks for another mode; the reply tells the state in force."""
+
+    settings: FaultSettings
+    reply: Reply
+
+
+@frozen
+class CountsRequested:
+    """Asks for the counts of calls by kind."""
+
+    reply: Reply
+
+
+@frozen
+class CallsRefused:
+    """The server ends: drop what waits and all calls that still come."""
--- /dev/null
+++ b/src/monsoonmill/platform/server.py
@@ -0,0 +1,166 @@
+"""HTTP server of the key-value stand-in and its task."""
+
+from collections.abc import Callable
+from errno import ECONNRESET
+from json import loads
+
+from cheroot.wsgi import Server
+
+from monsoonmill.errors import PlatformError, SettingsError
+from monsoonmill.platform.calls import (
+    CallArrived,
+    CallsRefused,
+    CountsRequested,
+    Dropped,
+    Failed,
+    ModeRequested,
+)
+from monsoonmill.platform.errors import BadCallError
+from monsoonmill.platform.standin_settings import ServerSettings, StandInSettings
+from monsoonmill.platform.store_task import StoreTask
+from monsoonmill.platform.web import (
+    STATUS_LINES,
+    WebRequest,
+    encode_answer,
+    parse_call,
+)
+from monsoonmill.platform.wire import CALLS_PATH, CONTROL_PATH
+from monsoonmill.task import Inbox, Task
+
+ACCEPT_QUEUE_LENGTH = 256
+"""Connections that the kernel holds until the server accepts them."""
+
+SHUTDOWN_TIMEOUT_S = 1
+
+
+class WebApplication:
+    """Turns requests into messages to the store's task and waits for the reply.
+
+    Parameters
+    ----------
+    post : callable
+        Sends a message to the store's task.
+    """
+
+    def __init__(self, post: Callable[[object], None], max_wait_ms: int):
+        self._post = post
+        self._max_wait_ms = max_wait_ms
+
+    def __call__(self, environ, start_response):
+        """Answer one request as WSGI prescribes."""
+        response = self._respond(WebRequest.from_environ(environ))
+        start_response(STATUS_LINES[response.status], response.headers())
+        return [response.body]
+
+    def _respond(self, req):
+        inbox = Inbox()
+        try:
+            message = self._message(req, inbox.post)
+        except PlatformError as exc:
+            return encode_answer(Failed(exc), False)
+        self._post(message)
+        answer = inbox.take()
+        if isinstance(answer, Dropped):
+            # The server closes the connection of a request that fails so.
+            raise ConnectionResetError(ECONNRESET, "connection dropped")
+        return encode_answer(answer, req.method != "GET")
+
+    def _message(self, req, reply):
+        if req.path == CALLS_PATH and req.method == "GET":
+            return CountsRequested(reply)
+        if req.path == CONTROL_PATH and req.method == "POST":
+            return ModeRequested(_parse_mode(req.body), reply)
+        return CallArrived(parse_call(req, self._max_wait_ms), reply)
+
+
+def _parse_mode(body):
+    try:
+        faults = loads(body)
+        return StandInSettings.from_dict({"faults": faults}, "control").faults
+    except (ValueError, SettingsError) as exc:
+        raise BadCallError(str(exc)) from exc
+
+
+class HttpTask(Task):
+    """Owns the listening socket and the threads of the HTTP server."""
+
+    def __init__(self, server: Server):
+        super().__init__("platform-http")
+        self._server = server
+
+    @classmethod
+    def from_settings(
+        cls, settings: ServerSettings, post: Callable[[object], None]
+    ) -> "HttpTask":
+        """Bind the address of the settings.
+
+        Raises
+        ------
+        SettingsError
+            The address can't be bound.
+        """
+        server = Server(
+            (settings.host, settings.port),
+            WebApplication(post, settings.max_wait_ms),
+            numthreads=settings.threads + settings.max_watches,
+            request_queue_size=ACCEPT_QUEUE_LENGTH,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        try:
+            server.prepare()
+        except OSError as exc:
+            address = f"{settings.host}:{settings.port}"
+            raise SettingsError(address, "server.port", str(exc)) from exc
+        return cls(server)
+
+    @property
+    def port(self) -> int:
+        """Port that the server listens on."""
+        return self._server.bind_addr[1]
+
+    def run(self) -> None:
+        """Serve until the task is stopped."""
+        self._server.serve()
+
+    def stop(self) -> None:
+        """Close the listening socket and end the server's threads."""
+        self._server.stop()
+
+
+class StandIn:
+    """The whole stand-in: the store's task and the HTTP server before it."""
+
+    def __init__(self, store_task: StoreTask, http_task: HttpTask):
+        self._store_task = store_task
+        self._http_task = http_task
+
+    @classmethod
+    def from_settings(cls, settings: StandInSettings) -> "StandIn":
+        """Return a stand-in that has bound its port.
+
+        Raises
+        ------
+        SettingsError
+            The address can't be bound.
+        """
+        store_task = StoreTask.from_settings(settings)
+        return cls(store_task, HttpTask.from_settings(settings.server, store_task.post))
+
+    @property
+    def port(self) -> int:
+        """Port that the stand-in listens on."""
+        return self._http_task.port
+
+    def start(self) -> "StandIn":
+        """Start both tasks."""
+        self._store_task.start()
+        self._http_task.start()
+        return self
+
+    def stop(self) -> None:
+        """End both tasks; calls in progress are dropped first."""
+        self._store_task.post(CallsRefused())
+        self._http_task.stop()
+        self._http_task.join()
+        self._store_task.stop()
+        self._store_task.join()
--- /dev/null
+++ b/src/monsoonmill/platform/store_task.py
@@ -0,0 +1,180 @@
+"""The task that owns the stand-in's store, its limits and its faults."""
+
+from collections.abc import Callable
+from itertools import count
+
+from attrs import frozen
+from sortedcontainers import SortedKeyList
+
+from monsoonmill.clock import Clock, SystemClock
+from monsoonmill.counters import Counters
+from monsoonmill.errors import PlatformError, PlatformLimitError
+from monsoonmill.eventlog import get_logger
+from monsoonmill.platform.calls import (
+    CallArrived,
+    CallsRefused,
+    CountsRequested,
+    Dropped,
+    Failed,
+    Found,
+    ModeRequested,
+    Reply,
+    Report,
+    StoreCall,
+    Unchanged,
+    WatchCall,
+)
+from monsoonmill.platform.faults import FaultSwitch, Treatment
+from monsoonmill.platform.limits import CallLimit
+from monsoonmill.platform.standin_settings import LimitSettings, StandInSettings
+from monsoonmill.platform.store import Store
+from monsoonmill.task import MessageTask
+
+LIMITED = "limited"
+"""Counter of the calls that were refused over a limit."""
+
+DROPPED = "dropped"
+"""Counter of the connections that were closed without an answer."""
+
+log = get_logger("platform.store")
+
+
+@frozen(eq=False)
+class Delayed:
+    """A step of a call at a later time.
+
+    Attributes
+    ----------
+    reply : callable
+        Way back to the thread that waits for the call.
+    """
+
+    due: float
+    sequence: int
+    act: Callable[[], None]
+    reply: Reply
+
+
+class StoreTask(MessageTask):
+    """Carries out the calls of all HTTP threads, one after the other."""
+
+    def __init__(
+        self, limits: LimitSettings, switch: FaultSwitch, max_watches: int, clock: Clock
+    ):
+        super().__init__("platform-store")
+        burst_s = limits.burst_ms / 1000
+        self._writes = CallLimit.from_rate(limits.writes_per_s, burst_s)
+        self._reads = CallLimit.from_rate(limits.reads_per_s, burst_s)
+        self._switch = switch
+        self._max_watches = max_watches
+        self._clock = clock
+        self._store = Store()
+        self._counters = Counters()
+        self._delayed = SortedKeyList(key=_delayed_order)
+        self._sequence = count()
+        self._handlers = {
+            CallArrived: self._call_arrived,
+            ModeRequested: self._mode_requested,
+            CountsRequested: self._counts_requested,
+            CallsRefused: self._calls_refused,
+        }
+
+    @classmethod
+    def from_settings(cls, settings: StandInSettings) -> "StoreTask":
+        """Return a task with an empty store."""
+        switch = FaultSwitch.from_settings(settings.faults)
+        max_watches = settings.server.max_watches
+        return cls(settings.limits, switch, max_watches, SystemClock())
+
+    def wait_s(self) -> float | None:
+        """Return the time to the next timer."""
+        times = [self._store.next_due()]
+        if self._delayed:
+            times.append(self._delayed[0].due)
+        due = min((time for time in times if time is not None), default=None)
+        return None if due is None else max(due - self._clock.now(), 0.0)
+
+    def handle(self, message: object) -> None:
+        """Act on one message of an HTTP thread."""
+        self._handlers[type(message)](message)
+        self.idle()
+
+    def idle(self) -> None:
+        """Run due timers and wake the watches that ended."""
+        now = self._clock.now()
+        while self._delayed and self._delayed[0].due <= now:
+            self._delayed.pop(0).act()
+        self._store.expire(now)
+        for wake in self._store.take_wakes():
+            wake.token(Unchanged() if wake.entry is None else Found(wake.entry))
+
+    def _call_arrived(self, message):
+        call, reply = message.call, message.reply
+        self._counters.add(call.kind)
+        treatment = self._switch.behaviour.treat(call)
+        if not treatment.runs:
+            self._drop(reply)
+        elif self._is_over_limit(call):
+            self._counters.add(LIMITED)
+            reply(Failed(PlatformLimitError(f"too many calls of kind {call.kind}")))
+        else:
+            answer = self._treated_reply(reply, treatment)
+            self._after(treatment.delay_s, lambda: self._run(call, answer), reply)
+
+    def _is_over_limit(self, call: StoreCall):
+        if isinstance(call, WatchCall) and self._store.waiting >= self._max_watches:
+            return True
+        limit = self._writes if call.changes else self._reads
+        return not limit.take(self._clock.now())
+
+    def _treated_reply(self, reply: Reply, treatment: Treatment) -> Reply:
+        if not treatment.answers:
+            return lambda answer: self._drop(reply)
+        if not treatment.delay_s:
+            return reply
+        return lambda answer: self._after(
+            treatment.delay_s, lambda: reply(answer), reply
+        )
+
+    def _run(self, call, reply):
+        try:
+            call.run(self._store, self._clock.now(), reply)
+        except PlatformError as exc:
+            reply(Failed(exc))
+
+    def _after(self, delay_s, act, reply):
+        if delay_s <= 0:
+            act()
+            return
+        due = self._clock.now() + delay_s
+        self._delayed.add(Delayed(due, next(self._sequence), act, reply))
+
+    def _mode_requested(self, message):
+        self._switch.change(message.settings)
+        if not self._switch.behaviour.keeps_calls:
+            self._drop_calls()
+        log.info("mode", state=self._switch.state)
+        message.reply(Report({"state": self._switch.state}))
+
+    def _counts_requested(self, message):
+        message.reply(Report(self._counters.snapshot()))
+
+    def _calls_refused(self, message):
+        self._switch.refuse()
+        self._drop_calls()
+
+    def _drop(self, reply):
+        self._counters.add(DROPPED)
+        reply(Dropped())
+
+    def _drop_calls(self):
+        self._counters.add(DROPPED, self._store.waiting + len(self._delayed))
+        for watch in self._store.drop_watches():
+            watch.token(Dropped())
+        for delayed in self._delayed:
+            delayed.reply(Dropped())
+        self._delayed.clear()
+
+
+def _delayed_order(delayed):
+    return delayed.due, delayed.sequence
