Add the stand-in backend server

monsoon-backend takes the place of a real backend server in tests and try-outs: slots and a bounded queue, seeded service times, cold start, drain, deadlines, cancellation, lagging health, crash on a poison request, nested calls, and a record of each execution that outlives a crash.

Answers echo the request's id with a CRC and padding derived from the id, so that a mixed-up or cut answer is noticed.

--- /dev/null
+++ b/tests/test_standin_backend.py
@@ -0,0 +1,246 @@
+"""Behaviour of the stand-in backend server."""
+
+import os
+import signal
+import subprocess
+import sys
+from json import loads
+from threading import Event, Thread
+
+import pytest
+from urllib3 import HTTPConnectionPool
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from monsoonmill.errors import SettingsError
+from monsoonmill.standin.backend import BackendServer
+from monsoonmill.standin.backend_program import main
+from monsoonmill.standin.backend_settings import BackendSettings
+from monsoonmill.standin.echo import CRC_HEADER, Echo, is_whole, make_body
+
+POLL_S = 0.02
+LIMIT_TURNS = 250
+
+
+def make_settings(routes=None, calls=(), **flags):
+    flags = {"backend_port": 0, "backend_log_level": "error"} | flags
+    routes = routes or [{"path": "/", "mean_ms": 0}]
+    tables = {"work_routes": routes, "nested_calls": list(calls)}
+    return BackendSettings.from_file(None, **flags, **tables)
+
+
+@pytest.fixture(scope="module")
+def start():
+    servers = []
+
+    def start_server(**options):
+        server = BackendServer(make_settings(**options))
+        server.start()
+        servers.append(server)
+        pool = HTTPConnectionPool("127.0.0.1", server.port, maxsize=8, retries=False)
+        return server, pool
+
+    yield start_server
+    stops = [Thread(target=server.stop) for server in servers]
+    for stop in stops:
+        stop.start()
+    for stop in stops:
+        stop.join()
+
+
+def wait_for(condition):
+    pause = Event()
+    for _ in range(LIMIT_TURNS):
+        if condition():
+            return
+        pause.wait(POLL_S)
+    raise AssertionError("the condition did not come true")
+
+
+def health(pool):
+    return pool.request("GET", "/health").json()
+
+
+def in_background(pool, path, **options):
+    answers = []
+    thread = Thread(target=lambda: answers.append(pool.request("GET", path, **options)))
+    thread.start()
+    return thread, answers
+
+
+def test_answer_is_whole_and_recorded(start):
+    _, pool = start(routes=[{"path": "/", "mean_ms": 0, "answer_bytes": 5000}])
+    headers = {"X-Request-Id": "r-1", "Authorization": "Bearer secret"}
+    response = pool.request("POST", "/pledges", body=b"x", headers=headers)
+    assert len(response.data) == 5000
+    assert is_whole(response.data, response.headers[CRC_HEADER], "r-1")
+    assert not is_whole(response.data, response.headers[CRC_HEADER], "r-2")
+    (execution,) = pool.request("GET", "/executions").json()
+    assert execution["id"] == "r-1" and execution["finished"]
+    assert execution["has_authorization"] and "secret" not in str(execution)
+    assert pool.request("GET", "/executions/count").json()["count"] == 1
+
+
+def test_cut_answer_is_noticed():
+    body = make_body(Echo("r", "s", "b"), 300)
+    assert not is_whole(body[:-1], "00000000", "r")
+
+
+def test_full_queue_sheds_without_running(start):
+    _, pool = start(
+        routes=[{"path": "/", "mean_ms": 300}], work_slots=1, work_queue_length=0
+    )
+    thread, answers = in_background(pool, "/a")
+    wait_for(lambda: health(pool)["running"] == 1)
+    refused = pool.request("GET", "/b")
+    assert refused.status == 503
+    assert refused.headers["Monsoon-Outcome"] == "not-run"
+    thread.join()
+    assert answers[0].status == 200
+    assert pool.request("GET", "/executions/count").json()["count"] == 1
+
+
+def test_deadline_that_can_not_be_kept_is_not_started(start):
+    _, pool = start(routes=[{"path": "/", "mean_ms": 200}])
+    late = pool.request("GET", "/a", headers={"Monsoon-Timeout-Ms": "100"})
+    assert late.status == 504
+    assert late.headers["Monsoon-Outcome"] == "not-run"
+    assert pool.request("GET", "/executions").json() == []
+
+
+def test_closed_connection_cancels_running_and_waiting_work(start):
+    _, pool = start(routes=[{"path": "/", "mean_ms": 60_000}], work_slots=1)
+    conns = []
+    for waiting in range(2):
+        conn = HTTPConnection(pool.host, pool.port)
+        conn.request("GET", "/a")
+        conns.append(conn)
+        wait_for(lambda waiting=waiting: health(pool)["waiting"] == waiting)
+        wait_for(lambda: health(pool)["running"] == 1)
+    for conn in reversed(conns):
+        conn.close()
+    wait_for(lambda: health(pool)["running"] == 0)
+    report = pool.request("GET", "/executions/count").json()
+    assert report["counters"] == {"cancelled": 1, "cancelled-waiting": 1}
+
+
+def test_drain_finishes_work_and_refuses_more(start):
+    server, pool = start(routes=[{"path": "/", "mean_ms": 300}], drain_settle_ms=100)
+    thread, answers = in_background(pool, "/a")
+    wait_for(lambda: health(pool)["running"] == 1)
+    pool.request("POST", "/control", json={"draining": True})
+    refused = pool.request("GET", "/b")
+    assert (refused.status, refused.headers["Monsoon-Reason"]) == (503, "draining")
+    assert server.wait(5)
+    thread.join()
+    assert answers[0].status == 200
+
+
+def test_health_lags(start):
+    _, pool = start(
+        routes=[{"path": "/", "mean_ms": 60_000}], faults_health_lag_ms=60_000
+    )
+    conn = HTTPConnection(pool.host, pool.port)
+    conn.request("GET", "/a")
+    wait_for(lambda: pool.request("GET", "/executions/count").json()["running"] == 1)
+    assert health(pool)["running"] == 0
+    conn.close()
+
+
+def test_cold_start_slows_requests(start):
+    _, pool = start(
+        routes=[{"path": "/", "mean_ms": 10}],
+        work_cold_start_ms=60_000,
+        work_cold_factor=20.0,
+    )
+    assert health(pool)["state"] == "warming"
+    late = pool.request("GET", "/a", headers={"Monsoon-Timeout-Ms": "100"})
+    assert late.status == 504
+
+
+def test_control_changes_errors_and_stalls(start):
+    _, pool = start()
+    pool.request("POST", "/control", json={"error_rate": 1.0, "seed": 1})
+    assert pool.request("GET", "/a").status == 500
+    pool.request("POST", "/control", json={"stall": True})
+    with pytest.raises(HTTPError):
+        pool.request("GET", "/a", timeout=0.2)
+    assert pool.request("POST", "/control", json={"bad": 1}).status == 400
+
+
+def test_nested_calls_carry_context_and_copy_the_reason(start):
+    # The inner server takes the node's place; its paths begin with the service.
+    inner, inner_pool = start(drain_settle_ms=60_000)
+    call = {"path": "/", "service": "deep", "target": "/x", "count": 3}
+    _, pool = start(
+        calls=[call | {"parallel": True}],
+        backend_node=f"127.0.0.1:{inner.port}",
+    )
+    headers = {"Monsoon-Context": "token", "Monsoon-Timeout-Ms": "5000"}
+    assert pool.request("GET", "/a", headers=headers).status == 200
+    executions = inner_pool.request("GET", "/executions").json()
+    nested = [entry for entry in executions if entry["path"] == "/deep/x"]
+    assert len(nested) == 3
+    for entry in nested:
+        assert entry["headers"]["monsoon-context"] == "token"
+        assert 0 < int(entry["headers"]["monsoon-timeout-ms"]) <= 5000
+    announced = [entry for entry in executions if entry["path"] == "/announce"]
+    assert announced
+    inner.drain()
+    wait_for(lambda: health(inner_pool)["state"] == "draining")
+    failed = pool.request("GET", "/a")
+    assert (failed.status, failed.headers["Monsoon-Reason"]) == (502, "draining")
+
+
+@pytest.fixture
+def program(tmp_path):
+    record = tmp_path / "record.jsonl"
+    command = [sys.executable, "-m", "monsoonmill.standin.backend_program"]
+    flags = ["--port=0", f"--record_file={record}", "--poison_marker=venom"]
+    process = subprocess.Popen(command + flags, stdout=subprocess.PIPE, text=True)
+    word, port = process.stdout.readline().split()
+    assert word == "ready"
+    yield process, HTTPConnectionPool("127.0.0.1", int(port), retries=False), record
+    process.kill()
+    process.wait()
+    process.stdout.close()
+
+
+def test_poison_crashes_the_process_after_its_record(program):
+    process, pool, record = program
+    with pytest.raises(HTTPError):
+        pool.request("POST", "/a", body=b"venom", headers={"X-Request-Id": "p"})
+    assert process.wait(10) == 1
+    (line,) = map(loads, record.read_text().splitlines())
+    assert (line["event"], line["id"]) == ("start", "p")
+
+
+def test_sigterm_drains_and_exits_cleanly(program):
+    process, pool, record = program
+    assert pool.request("GET", "/a").status == 200
+    os.kill(process.pid, signal.SIGTERM)
+    assert process.wait(10) == 0
+    events = [loads(line)["event"] for line in record.read_text().splitlines()]
+    assert events == ["start", "end"]
+
+
+@pytest.mark.parametrize(
+    ("argv", "named"),
+    [
+        (["--slots=0"], "work.slots"),
+        (["--port=abc"], "backend.port"),
+        (["--config=/nonexistent.toml"], "nonexistent.toml"),
+        (["--nonsense=1"], "nonsense"),
+        (["--port=0", "--host=192.0.2.1"], "192.0.2.1:0"),
+        (["--record_file=/nonexistent/record"], "faults.record_file"),
+    ],
+)
+def test_bad_input_is_one_line_and_status_2(argv, named, capsys):
+    assert main(argv) == 2
+    error = capsys.readouterr().err
+    assert named in error and error.count("\n") == 1
+
+
+def test_unknown_key_of_a_route_is_named():
+    with pytest.raises(SettingsError, match="work.routes.*'colour'"):
+        make_settings(routes=[{"path": "/", "mean_ms": 1, "colour": 2}])
