Keep the backend stand-in's chart valid for sismic

A final state takes no transitions there, so a request that no state takes is refused by the task. A test loads the file with sismic. The cancellation test closed both connections at once and depended on which end was noticed first (seen to fail once); it now waits for the first and also checks that the running request goes on meanwhile.

--- a/src/monsoonmill/standin/backend_task.py
+++ b/src/monsoonmill/standin/backend_task.py
@@ -85,7 +85,7 @@
         self._handlers = {
             Listening: lambda message: self._chart.send("listening"),
             Drain: lambda message: self._chart.send("drain"),
-            WorkArrived: lambda message: self._chart.send("arrive", message),
+            WorkArrived: self._arrive,
             WorkEnded: self._end_work,
             QueryReport: self._report,
             Control: self._control,
@@ -172,10 +172,6 @@
         self._phase_end = None
         self._stopped()
 
-    def refuse(self, arrived: WorkArrived) -> None:
-        """Refuse a request while none is accepted."""
-        self._refuse(arrived, Reason.DRAINING)
-
     def admit(self, arrived: WorkArrived) -> None:
         """Start a request, queue it or shed it."""
         if len(self._running) < self.settings.work.slots:
@@ -185,6 +181,10 @@
 
     # Work.
 
+    def _arrive(self, arrived):
+        if not self._chart.send("arrive", arrived):
+            self._refuse(arrived, Reason.DRAINING)
+
     def _refuse(self, arrived, reason):
         self.counters.add(reason)
         arrived.reply.post(WorkRefused(reason))
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -4,10 +4,12 @@
 import signal
 import subprocess
 import sys
+from importlib.resources import files
 from json import loads
 from threading import Event, Thread
 
 import pytest
+from sismic.io import import_from_yaml
 from urllib3 import HTTPConnectionPool
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
@@ -81,6 +83,11 @@
     assert pool.request("GET", "/executions/count").json()["count"] == 1
 
 
+def test_chart_is_valid_for_sismic():
+    chart = files("monsoonmill") / "charts" / "backend_standin.yaml"
+    assert import_from_yaml(chart.read_text()).name == "backend_standin"
+
+
 def test_cut_answer_is_noticed():
     body = make_body(Echo("r", "s", "b"), 300)
     assert not is_whole(body[:-1], "00000000", "r")
@@ -117,8 +124,11 @@
         conns.append(conn)
         wait_for(lambda waiting=waiting: health(pool)["waiting"] == waiting)
         wait_for(lambda: health(pool)["running"] == 1)
-    for conn in reversed(conns):
-        conn.close()
+    running, waiting = conns
+    waiting.close()
+    wait_for(lambda: health(pool)["waiting"] == 0)
+    assert health(pool)["running"] == 1
+    running.close()
     wait_for(lambda: health(pool)["running"] == 0)
     report = pool.request("GET", "/executions/count").json()
     assert report["counters"] == {"cancelled": 1, "cancelled-waiting": 1}
