--- /dev/null
+++ b/src/monsoonmill/standin/backend_http.py
@@ -0,0 +1,153 @@
+"""HTTP front end of the stand-in backend server."""
+
+from collections.abc import Callable
+from itertools import count
+from json import loads
+
+from attrs import fields
+
+from monsoonmill.clock import SystemClock
+from monsoonmill.reasons import Reason
+from monsoonmill.standin.backend_messages import (
+    Control,
+    NestedRequest,
+    QueryReport,
+    WorkArrived,
+    WorkEnded,
+    WorkRefused,
+)
+from monsoonmill.standin.backend_settings import BackendSettings
+from monsoonmill.standin.echo import CRC_HEADER, ID_HEADER, Echo, body_crc, make_body
+from monsoonmill.standin.http_front import HttpAnswer, RequestHandler
+from monsoonmill.standin.reply_box import ClientGone, ReplyBox
+
+CLOCK = SystemClock()
+
+REPORT_TOPICS = {
+    "/health": "health",
+    "/executions": "executions",
+    "/executions/count": "count",
+}
+
+
+class BackendHandler(RequestHandler):
+    """Serves one request at a time for each thread that calls it.
+
+    Parameters
+    ----------
+    post : callable
+        Sends a message to the backend task.
+    call_nested : callable
+        Takes ``NestedRequest`` messages.
+    """
+
+    def __init__(
+        self, settings: BackendSettings, post: Callable, call_nested: Callable
+    ):
+        self._settings = settings
+        self._post = post
+        self._call_nested = call_nested
+        self._unnamed = count()
+        self.name = settings.backend.name
+
+    def serve(self, method, path, headers, body, box: ReplyBox) -> HttpAnswer | None:
+        """Return the answer of a request; None if the client has gone."""
+        topic = REPORT_TOPICS.get(path) if method == "GET" else None
+        if topic is not None:
+            self._post(QueryReport(topic, box))
+            return _document_answer(box.take())
+        if path == "/control":
+            return self._control(body, box)
+        return self._work(method, path, headers, body, box)
+
+    def _control(self, body, box):
+        try:
+            self._post(_parse_control(body, box))
+        except (ValueError, TypeError) as exc:
+            return HttpAnswer.problem("400 Bad Request", str(exc))
+        return _document_answer(box.take())
+
+    def _work(self, method, path, headers, body, box):
+        name = headers.get(ID_HEADER.lower()) or f"unnamed-{next(self._unnamed)}"
+        deadline = _deadline(headers)
+        self._post(WorkArrived(name, method, path, headers, body, deadline, box))
+        started = box.take()
+        if isinstance(started, ClientGone):
+            self._post(WorkEnded(box, cancelled=True))
+            return None
+        if isinstance(started, WorkRefused):
+            return _not_run(started.reason)
+        parent = WorkArrived(name, method, path, headers, b"", deadline, box)
+        answer = self._run(started, parent)
+        self._post(WorkEnded(box, cancelled=answer is None))
+        return answer
+
+    def _run(self, started, parent):
+        """Make the nested calls, work, and return the answer."""
+        box = parent.reply
+        for call in started.nested:
+            failed = self._make_nested(call, parent)
+            if isinstance(failed, ClientGone):
+                return None
+            if failed is not None:
+                headers = (("Monsoon-Reason", failed.reason),)
+                return HttpAnswer("502 Bad Gateway", headers)
+        if box.take(started.service_s) is not None:
+            return None
+        if started.fails:
+            return HttpAnswer("500 Internal Server Error")
+        return self._echo(parent.id, started.answer_bytes)
+
+    def _make_nested(self, call, parent):
+        """Return the failure of the calls, ``ClientGone``, or None."""
+        at_once = call.count if call.parallel else 1
+        for number in range(0, call.count, at_once):
+            for offset in range(at_once):
+                self._send_nested(call, parent, number + offset)
+            for _ in range(at_once):
+                done = parent.reply.take()
+                if isinstance(done, ClientGone) or not done.succeeded:
+                    return done
+        return None
+
+    def _send_nested(self, call, parent, number):
+        context = parent.headers.get("monsoon-context", "")
+        name = f"{parent.id}/{call.service}.{number}"
+        self._call_nested(
+            NestedRequest(call, context, name, parent.deadline, parent.reply)
+        )
+
+    def _echo(self, request_id, size):
+        echo = Echo(request_id, self._settings.backend.service, self.name)
+        body = make_body(echo, size)
+        headers = (
+            ("Content-Type", "application/json"),
+            (CRC_HEADER, body_crc(body)),
+        )
+        return HttpAnswer("200 OK", headers, body)
+
+
+def _document_answer(report):
+    if isinstance(report, ClientGone):
+        return None
+    return HttpAnswer.from_document(report.document)
+
+
+def _not_run(reason):
+    late = reason is Reason.DEADLINE
+    status = "504 Gateway Timeout" if late else "503 Service Unavailable"
+    headers = (("Monsoon-Outcome", "not-run"), ("Monsoon-Reason", reason.value))
+    return HttpAnswer(status, headers)
+
+
+def _deadline(headers):
+    text = headers.get("monsoon-timeout-ms", "")
+    return CLOCK.now() + int(text) / 1000 if text.isdigit() else None
+
+
+def _parse_control(body, box):
+    doc = loads(body)
+    known = {item.name for item in fields(Control)} - {"reply"}
+    if not isinstance(doc, dict) or not set(doc) <= known:
+        raise ValueError(f"expected an object with keys of {sorted(known)}")
+    return Control(box, **doc)
