--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -86,6 +86,17 @@
     random_seed: int = _count(0)
 
 
+@frozen
+class PolicySettings:
+    """Variant of each part of the decisions that has several."""
+
+    quota: str = field(validator=in_(("unlimited",)))
+    claims: str = field(validator=in_(("none",)))
+    admission: str = field(validator=in_(("all",)))
+    health: str = field(validator=in_(("none",)))
+    poison: str = field(validator=in_(("none",)))
+
+
 @frozen
 class PlatformSettings:
     """How the platform's key-value service is reached."""
@@ -213,6 +224,7 @@
     """All settings of a node."""
 
     node: NodeSettings
+    policy: PolicySettings
     platform: PlatformSettings
     http: HttpSettings
     call: CallSettings
