Write each HTTP response once and with one call to the kernel

Cause: the gateway sent the headers itself, and cheroot then sent them a second time after the body, because its own mark of having sent them was not set. A caller that kept its connection read the stray headers as its next answer. Found by a profile: two calls of send_headers for each request.

--- a/src/monsoonmill/node/web.py
+++ b/src/monsoonmill/node/web.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from http import HTTPStatus
+from io import BytesIO
 from json import dumps
 
 from attrs import field, frozen
@@ -85,7 +86,7 @@
 
 
 class CountingRequest(HTTPRequest):
-    """Counts the requests that cheroot refuses by itself."""
+    """Counts the requests that cheroot refuses by itself, and writes answers."""
 
     def simple_response(self, status, msg=""):
         """Write a refusal of cheroot's own and count it."""
@@ -94,6 +95,18 @@
         super().simple_response(status, msg)
 
 
+    def write_whole(self, body: bytes) -> None:
+        """Write the headers and the body with one call to the kernel."""
+        wfile = self.conn.wfile
+        self.conn.wfile = BytesIO()
+        try:
+            self.ensure_headers_sent()
+            head = self.conn.wfile.getvalue()
+        finally:
+            self.conn.wfile = wfile
+        wfile.write(head + body)
+
+
 class CountingConnection(HTTPConnection):
     """A connection whose refused requests are counted."""
 
@@ -133,9 +146,7 @@
         ]
         length = str(len(response.body)).encode()
         req.outheaders.append((b"Content-Length", length))
-        req.send_headers()
-        if req.method != b"HEAD" and response.body:
-            req.write(response.body)
+        req.write_whole(b"" if req.method == b"HEAD" else response.body)
 
 
 def _phrase(status):
--- /dev/null
+++ b/tests/test_http_front.py
@@ -0,0 +1,60 @@
+"""The HTTP front end at a real socket."""
+
+from contextlib import contextmanager
+from socket import create_connection
+from threading import Thread
+
+from monsoonmill.counters import Counters
+from monsoonmill.node.web import App, AppServer, WebResponse
+from monsoonmill.settings import Settings
+
+
+class EchoApp(App):
+    def respond(self, req, raw):
+        return WebResponse(200, (("X-Path", req.uri),), req.body or req.uri.encode())
+
+
+@contextmanager
+def running_server(**http):
+    counters = Counters()
+    cfg = Settings.from_dict({"http": http}).http
+    server = AppServer("127.0.0.1", 0, EchoApp(), 2, cfg, counters)
+    server.prepare()
+    thread = Thread(target=server.serve, daemon=True)
+    thread.start()
+    try:
+        yield server, counters
+    finally:
+        server.stop()
+        thread.join(5)
+
+
+def exchange(server, data):
+    """Send bytes, and return all that comes until the server closes."""
+    with create_connection(("127.0.0.1", server.port), timeout=5) as conn:
+        conn.sendall(data)
+        return b"".join(iter(lambda: conn.recv(65536), b""))
+
+
+def test_each_request_on_a_connection_gets_exactly_one_response():
+    first = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+    last = b"GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    with running_server() as (server, _):
+        received = exchange(server, first + last)
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert received.endswith(b"\r\n\r\n/b")
+
+
+def test_malformed_request_is_refused_counted_and_harms_no_other():
+    with running_server() as (server, counters):
+        assert b" 400 " in exchange(server, b"GARBAGE\r\n\r\n")
+        good = b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        assert b" 200 " in exchange(server, good)
+    assert counters.value("bad-request") == 1
+
+
+def test_oversized_body_is_refused_and_counted():
+    head = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n"
+    with running_server(max_body_bytes=1024) as (server, counters):
+        assert b" 413 " in exchange(server, head)
+    assert counters.value("too-large") == 1
