Bound the stand-in's timers and numbers and keep idle connections

A lease or delay of absurd length overflowed the timeout of the store's task; waits are capped now and numbers have a length limit. The server keeps 1024 idle connections instead of cheroot's 10. Conditions in tests have a deadline. The size limit of values moves out of the store, so that the client no longer imports the stand-in.

--- a/src/monsoonmill/platform/calls.py
+++ b/src/monsoonmill/platform/calls.py
@@ -190,5 +190,5 @@
 
 
 @frozen
-class CallsRefused:
+class ShutdownRequested:
     """The server ends: drop what waits and all calls that still come."""
--- a/src/monsoonmill/platform/client.py
+++ b/src/monsoonmill/platform/client.py
@@ -31,7 +31,7 @@
     LeaseNotLiveError,
     ValueTooLargeError,
 )
-from monsoonmill.platform.store import MAX_VALUE_BYTES
+from monsoonmill.platform.limits import MAX_VALUE_BYTES
 from monsoonmill.platform.wire import (
     KEY_PATH,
     LEASE_PATH,
--- a/src/monsoonmill/platform/limits.py
+++ b/src/monsoonmill/platform/limits.py
@@ -1,7 +1,10 @@
-"""Limits on the rate of calls."""
+"""Limits of the key-value service: size of values and rate of calls."""
 
 from abc import ABC, abstractmethod
 
+MAX_VALUE_BYTES = 1 << 20
+"""Largest value of a key."""
+
 
 class CallLimit(ABC):
     """Decides whether one more call may be carried out now."""
--- a/src/monsoonmill/platform/server.py
+++ b/src/monsoonmill/platform/server.py
@@ -9,11 +9,11 @@
 from monsoonmill.errors import PlatformError, SettingsError
 from monsoonmill.platform.calls import (
     CallArrived,
-    CallsRefused,
     CountsRequested,
     Dropped,
     Failed,
     ModeRequested,
+    ShutdownRequested,
 )
 from monsoonmill.platform.errors import BadCallError
 from monsoonmill.platform.standin_settings import ServerSettings, StandInSettings
@@ -30,6 +30,10 @@
 ACCEPT_QUEUE_LENGTH = 256
 """Connections that the kernel holds until the server accepts them."""
 
+KEEP_ALIVE_CONNECTIONS = 1024
+"""Idle connections that the server keeps open."""
+
+IDLE_TIMEOUT_S = 60
 SHUTDOWN_TIMEOUT_S = 1
 
 
@@ -104,8 +108,10 @@
             WebApplication(post, settings.max_wait_ms),
             numthreads=settings.threads + settings.max_watches,
             request_queue_size=ACCEPT_QUEUE_LENGTH,
+            timeout=IDLE_TIMEOUT_S,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
+        server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
         try:
             server.prepare()
         except OSError as exc:
@@ -159,7 +165,7 @@
 
     def stop(self) -> None:
         """End both tasks; calls in progress are dropped first."""
-        self._store_task.post(CallsRefused())
+        self._store_task.post(ShutdownRequested())
         self._http_task.stop()
         self._http_task.join()
         self._store_task.stop()
--- a/src/monsoonmill/platform/standin_settings.py
+++ b/src/monsoonmill/platform/standin_settings.py
@@ -9,6 +9,9 @@
 
 from monsoonmill.settings import LOG_LEVELS, MAX_PORT, build_sections, read_toml
 
+MAX_DELAY_MS = 3_600_000
+"""Longest delay of a call in mode slow."""
+
 
 def _int(least=0, most=None):
     checks = [instance_of(int), ge(least)]
@@ -61,7 +64,7 @@
     """
 
     mode: Mode = field(converter=Mode)
-    delay_ms: int = _int()
+    delay_ms: int = _int(most=MAX_DELAY_MS)
     lost_percent: int = _int(most=100)
     seed: int = _int()
 
--- a/src/monsoonmill/platform/store.py
+++ b/src/monsoonmill/platform/store.py
@@ -7,9 +7,7 @@
 
 from monsoonmill.errors import PlatformConflictError
 from monsoonmill.platform.errors import LeaseNotLiveError, ValueTooLargeError
-
-MAX_VALUE_BYTES = 1 << 20
-"""Largest value of a key."""
+from monsoonmill.platform.limits import MAX_VALUE_BYTES
 
 
 @frozen
--- a/src/monsoonmill/platform/store_task.py
+++ b/src/monsoonmill/platform/store_task.py
@@ -12,7 +12,6 @@
 from monsoonmill.eventlog import get_logger
 from monsoonmill.platform.calls import (
     CallArrived,
-    CallsRefused,
     CountsRequested,
     Dropped,
     Failed,
@@ -20,6 +19,7 @@
     ModeRequested,
     Reply,
     Report,
+    ShutdownRequested,
     StoreCall,
     Unchanged,
     WatchCall,
@@ -36,6 +36,9 @@
 DROPPED = "dropped"
 """Counter of the connections that were closed without an answer."""
 
+MAX_TIMER_S = 3600.0
+"""Longest wait for a message; the operating system limits timeouts."""
+
 log = get_logger("platform.store")
 
 
@@ -76,7 +79,7 @@
             CallArrived: self._call_arrived,
             ModeRequested: self._mode_requested,
             CountsRequested: self._counts_requested,
-            CallsRefused: self._calls_refused,
+            ShutdownRequested: self._shutdown_requested,
         }
 
     @classmethod
@@ -92,7 +95,9 @@
         if self._delayed:
             times.append(self._delayed[0].due)
         due = min((time for time in times if time is not None), default=None)
-        return None if due is None else max(due - self._clock.now(), 0.0)
+        if due is None:
+            return None
+        return min(max(due - self._clock.now(), 0.0), MAX_TIMER_S)
 
     def handle(self, message: object) -> None:
         """Act on one message of an HTTP thread."""
@@ -159,7 +164,7 @@
     def _counts_requested(self, message):
         message.reply(Report(self._counters.snapshot()))
 
-    def _calls_refused(self, message):
+    def _shutdown_requested(self, message):
         self._switch.refuse()
         self._drop_calls()
 
--- a/src/monsoonmill/platform/web.py
+++ b/src/monsoonmill/platform/web.py
@@ -1,5 +1,6 @@
 """HTTP requests and answers of the key-value stand-in."""
 
+import re
 from collections.abc import Callable
 from json import dumps
 from urllib.parse import parse_qs
@@ -27,7 +28,7 @@
     LeaseNotLiveError,
     ValueTooLargeError,
 )
-from monsoonmill.platform.store import MAX_VALUE_BYTES
+from monsoonmill.platform.limits import MAX_VALUE_BYTES
 from monsoonmill.platform.wire import (
     KEY_PATH,
     LEASE_PATH,
@@ -56,6 +57,9 @@
     PlatformLimitError: 429,
 }
 
+NUMBER = re.compile(r"[0-9]{1,18}")
+"""A version or a time in milliseconds."""
+
 
 @frozen
 class WebRequest:
@@ -86,7 +90,7 @@
             The parameter is absent or no such number.
         """
         text = self.text(name)
-        if not (text.isascii() and text.isdigit()):
+        if not NUMBER.fullmatch(text):
             raise BadCallError(f"{name} must be a whole number")
         return int(text)
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -31,9 +31,9 @@
 from monsoonmill.model import Address
 from monsoonmill.platform.client import HttpPlatformClient, PlatformTask
 from monsoonmill.platform.errors import LeaseNotLiveError, ValueTooLargeError
+from monsoonmill.platform.limits import MAX_VALUE_BYTES
 from monsoonmill.platform.server import StandIn
 from monsoonmill.platform.standin_settings import StandInSettings
-from monsoonmill.platform.store import MAX_VALUE_BYTES
 from monsoonmill.task import Inbox
 
 HOST = "127.0.0.1"
@@ -87,8 +87,15 @@
     assert resp.status == 200, resp.data
 
 
-def waiting_watches(port):
-    return loads(call(port, "GET", "/calls").data).get("watch", 0)
+def calls(port, kind):
+    return loads(call(port, "GET", "/calls").data).get(kind, 0)
+
+
+def wait_until(condition):
+    clock = SystemClock()
+    deadline = clock.now() + TIMEOUT_S
+    while not condition():
+        assert clock.now() < deadline
 
 
 def test_keys_values_and_versions(client):
@@ -115,6 +122,9 @@
     assert call(port, "GET", "/v1/kv/wire").data == b"v"
     unchanged = call(port, "GET", f"/v1/kv/wire?after={version}&wait_ms=1")
     assert unchanged.status == 304
+    digits = "9" * 18
+    assert call(port, "POST", f"/v1/leases/long?ttl_ms={digits}").status == 200
+    assert call(port, "POST", f"/v1/leases/long?ttl_ms={digits}9").status == 400
     bad = ("/v1/kv/k?expected=-1", "/v1/kv/k", "/v1/kv/?expected=0", "/v1/kv/%FF")
     assert {call(port, "PUT", path, b"").status for path in bad} == {400}
     assert call(port, "POST", "/control", b'{"mode": "sideways"}').status == 400
@@ -154,8 +164,7 @@
         watchers = [connect(port) for _ in range(65)]
         futures = [pool.submit(client.watch, "k", 0) for client in watchers]
         client = connect(port)
-        while waiting_watches(port) < 65:
-            client.read("other")
+        wait_until(lambda: client.read("o") and calls(port, "watch") == 65)
         written = client.swap("k", 0, b"v")
         answers = [future.exception() or future.result() for future in futures]
         refused = [ans for ans in answers if isinstance(ans, PlatformLimitError)]
@@ -182,11 +191,10 @@
 
 
 def test_down_drops_calls_and_waiting_watches(port, client):
-    before = waiting_watches(port)
+    before = calls(port, "watch")
     with ThreadPoolExecutor(1) as pool:
         watch = pool.submit(connect(port).watch, "down", 0)
-        while waiting_watches(port) == before:
-            pass
+        wait_until(lambda: calls(port, "watch") > before)
         control(port, mode="down")
         assert isinstance(watch.exception(), PlatformUnavailableError)
     with pytest.raises(PlatformUnavailableError):
@@ -265,8 +273,7 @@
         with running() as port:
             control(port, mode="slow", delay_ms=60_000)
             slow = pool.submit(connect(port).read, "k")
-            while b"read" not in call(port, "GET", "/calls").data:
-                pass
+            wait_until(lambda: calls(port, "read"))
         assert isinstance(slow.exception(TIMEOUT_S), PlatformUnavailableError)
         with pytest.raises(HTTPError):
             call(port, "GET", "/calls")
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,9 +12,9 @@
 from monsoonmill.platform.calls import PutCall, ReadCall
 from monsoonmill.platform.errors import LeaseNotLiveError, ValueTooLargeError
 from monsoonmill.platform.faults import FaultSwitch
-from monsoonmill.platform.limits import CallLimit
+from monsoonmill.platform.limits import MAX_VALUE_BYTES, CallLimit
 from monsoonmill.platform.standin_settings import FaultSettings, StandInSettings
-from monsoonmill.platform.store import MAX_VALUE_BYTES, Store, Wake
+from monsoonmill.platform.store import Store, Wake
 
 KEYS = st.sampled_from(("a", "a/1", "a/2", "b"))
 LEASES = st.sampled_from(("", "east", "west"))
