Add the fault-injecting TCP proxy

monsoon-faults passes, delays, limits, cuts, freezes, blackholes or loses one direction of connections, for existing ones, new ones or all, set at run time by POST /faults.

The HTTP front end and the settings' lists of tables move out of the backend stand-in to where both programs use them.

--- a/src/monsoonmill/standin/backend.py
+++ b/src/monsoonmill/standin/backend.py
@@ -4,16 +4,20 @@
 
 from monsoonmill.model import Address
 from monsoonmill.standin.backend_announcer import Announcer
-from monsoonmill.standin.backend_http import HttpFront, RequestHandler
+from monsoonmill.standin.backend_http import BackendHandler
 from monsoonmill.standin.backend_messages import Drain, Listening
 from monsoonmill.standin.backend_nested import NestedCrew
 from monsoonmill.standin.backend_settings import BackendSettings
 from monsoonmill.standin.backend_task import BackendTask
+from monsoonmill.standin.http_front import HttpFront
 from monsoonmill.task import Inbox
 
 END_LIMIT_S = 5.0
 """Longest wait for a task's end once it was asked to stop."""
 
+SPARE_THREADS = 8
+"""Threads beyond slots and queue, for reports and refusals."""
+
 
 class BackendServer:
     """A backend server within this process.
@@ -32,8 +36,10 @@
         self._announcer: Announcer | None = None
         self._crew = NestedCrew.from_settings(settings)
         self._task = BackendTask(settings, self._announcements.post, self._ended.set)
-        self._handler = RequestHandler(settings, self._task.post, self._crew.post)
-        self._front = HttpFront(settings, self._handler)
+        self._handler = BackendHandler(settings, self._task.post, self._crew.post)
+        threads = settings.work.slots + settings.work.queue_length + SPARE_THREADS
+        bind_addr = (settings.backend.host, settings.backend.port)
+        self._front = HttpFront(bind_addr, threads, self._handler)
 
     def start(self) -> int:
         """Listen, announce and serve; return the port."""
--- a/src/monsoonmill/standin/backend_http.py
+++ b/src/monsoonmill/standin/backend_http.py
@@ -2,13 +2,11 @@
 
 from collections.abc import Callable
 from itertools import count
-from json import dumps, loads
+from json import loads
 
-from attrs import field, fields, frozen
-from cheroot.server import Gateway, HTTPServer
+from attrs import fields
 
 from monsoonmill.clock import SystemClock
-from monsoonmill.eventlog import get_logger
 from monsoonmill.reasons import Reason
 from monsoonmill.standin.backend_messages import (
     Control,
@@ -20,11 +18,8 @@
 )
 from monsoonmill.standin.backend_settings import BackendSettings
 from monsoonmill.standin.echo import CRC_HEADER, ID_HEADER, Echo, body_crc, make_body
-from monsoonmill.standin.options import ListenError
+from monsoonmill.standin.http_front import HttpAnswer, RequestHandler
 from monsoonmill.standin.reply_box import ClientGone, ReplyBox
-from monsoonmill.task import Task
-
-log = get_logger(__name__)
 
 CLOCK = SystemClock()
 
@@ -33,36 +28,9 @@
     "/executions": "executions",
     "/executions/count": "count",
 }
-SPARE_THREADS = 8
-"""Threads beyond slots and queue, for reports and refusals."""
-
-LISTEN_BACKLOG = 1024
-
-
-@frozen
-class HttpAnswer:
-    """Status, headers and body of an answer."""
-
-    status: str
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = field(default=b"", repr=False)
-
-    @classmethod
-    def from_document(cls, document: object, status: str = "200 OK") -> "HttpAnswer":
-        """Build an answer of JSON."""
-        body = dumps(document).encode()
-        return cls(status, (("Content-Type", "application/json"),), body)
-
-    @classmethod
-    def not_run(cls, reason: Reason) -> "HttpAnswer":
-        """Build the refusal of a request that was not run."""
-        late = reason is Reason.DEADLINE
-        status = "504 Gateway Timeout" if late else "503 Service Unavailable"
-        headers = (("Monsoon-Outcome", "not-run"), ("Monsoon-Reason", reason.value))
-        return cls(status, headers)
 
 
-class RequestHandler:
+class BackendHandler(RequestHandler):
     """Serves one request at a time for each thread that calls it.
 
     Parameters
@@ -96,8 +64,7 @@
         try:
             self._post(_parse_control(body, box))
         except (ValueError, TypeError) as exc:
-            problem = {"problem": str(exc)}
-            return HttpAnswer.from_document(problem, "400 Bad Request")
+            return HttpAnswer.problem("400 Bad Request", str(exc))
         return _document_answer(box.take())
 
     def _work(self, method, path, headers, body, box):
@@ -109,7 +76,7 @@
             self._post(WorkEnded(box, cancelled=True))
             return None
         if isinstance(started, WorkRefused):
-            return HttpAnswer.not_run(started.reason)
+            return _not_run(started.reason)
         parent = WorkArrived(name, method, path, headers, b"", deadline, box)
         answer = self._run(started, parent)
         self._post(WorkEnded(box, cancelled=answer is None))
@@ -166,6 +133,13 @@
     return HttpAnswer.from_document(report.document)
 
 
+def _not_run(reason):
+    late = reason is Reason.DEADLINE
+    status = "504 Gateway Timeout" if late else "503 Service Unavailable"
+    headers = (("Monsoon-Outcome", "not-run"), ("Monsoon-Reason", reason.value))
+    return HttpAnswer(status, headers)
+
+
 def _deadline(headers):
     text = headers.get("monsoon-timeout-ms", "")
     return CLOCK.now() + int(text) / 1000 if text.isdigit() else None
@@ -177,81 +151,3 @@
     if not isinstance(doc, dict) or not set(doc) <= known:
         raise ValueError(f"expected an object with keys of {sorted(known)}")
     return Control(box, **doc)
-
-
-class BackendGateway(Gateway):
-    """Connects cheroot's requests with the ``RequestHandler``."""
-
-    def respond(self):
-        """Serve the current request."""
-        req = self.req
-        headers = {
-            name.decode("latin-1").lower(): value.decode("latin-1")
-            for name, value in req.inheaders.items()
-        }
-        path = req.uri.decode("latin-1").partition("?")[0]
-        body = req.rfile.read()
-        with ReplyBox(req.conn.socket) as box:
-            handler = req.server.handler
-            answer = handler.serve(req.method.decode(), path, headers, body, box)
-        if answer is None:
-            req.close_connection = True
-            answer = HttpAnswer("499 Client Closed Request")
-        self._send(answer)
-
-    def _send(self, answer):
-        req = self.req
-        req.status = answer.status.encode()
-        size = str(len(answer.body))
-        for name, value in (*answer.headers, ("Content-Length", size)):
-            req.outheaders.append((name.encode(), value.encode()))
-        req.ensure_headers_sent()
-        if answer.body:
-            req.write(answer.body)
-
-
-class BackendHttpServer(HTTPServer):
-    """A cheroot server that knows its ``RequestHandler``."""
-
-    request_queue_size = LISTEN_BACKLOG
-
-    def __init__(self, bind_addr, threads: int, handler: RequestHandler):
-        super().__init__(bind_addr, BackendGateway, minthreads=threads)
-        self.handler = handler
-
-    def error_log(self, msg="", level=20, traceback=False):
-        """Log what cheroot reports."""
-        log.warning("http", message=msg)
-
-
-class HttpFront(Task):
-    """Owns the HTTP server and its listening socket."""
-
-    def __init__(self, settings: BackendSettings, handler: RequestHandler):
-        super().__init__("http")
-        work = settings.work
-        threads = work.slots + work.queue_length + SPARE_THREADS
-        bind_addr = (settings.backend.host, settings.backend.port)
-        self._server = BackendHttpServer(bind_addr, threads, handler)
-
-    def listen(self) -> int:
-        """Open the listening socket and return its port.
-
-        Raises
-        ------
-        ListenError
-            The address is not free or not this machine's.
-        """
-        try:
-            self._server.prepare()
-        except OSError as exc:
-            raise ListenError(self._server.bind_addr, exc) from exc
-        return self._server.bind_addr[1]
-
-    def run(self) -> None:
-        """Serve until ``stop``."""
-        self._server.serve()
-
-    def stop(self) -> None:
-        """Close the server and its connections."""
-        self._server.stop()
--- a/src/monsoonmill/standin/backend_settings.py
+++ b/src/monsoonmill/standin/backend_settings.py
@@ -1,6 +1,6 @@
 """Settings of the stand-in backend server."""
 
-from attrs import field, fields, frozen
+from attrs import field, frozen
 from attrs.validators import in_, instance_of
 
 from monsoonmill.model import Address
@@ -14,6 +14,7 @@
     parse_address,
 )
 from monsoonmill.standin.options import load_settings
+from monsoonmill.standin.tables import tables
 
 SHIPPED_DEFAULTS = "backend.toml"
 
@@ -48,27 +49,6 @@
     parallel: bool = field(default=False, validator=instance_of(bool))
 
 
-def _tables(cls):
-    """Return a field that holds a list of tables, each read as ``cls``."""
-    return field(converter=lambda values: tuple(_read_tables(cls, values)))
-
-
-def _read_tables(cls, values):
-    if not isinstance(values, list | tuple):
-        raise TypeError("must be a list of tables")
-    known = {item.name for item in fields(cls)}
-    for position, table in enumerate(values):
-        if isinstance(table, cls):
-            yield table
-            continue
-        if not isinstance(table, dict):
-            raise TypeError(f"entry {position} must be a table")
-        unknown = set(table) - known
-        if unknown:
-            raise ValueError(f"entry {position}: unknown key {min(unknown)!r}")
-        yield cls(**table)
-
-
 def _optional_address():
     return field(converter=lambda text: parse_address(text) if text else None)
 
@@ -98,7 +78,7 @@
     cold_start_ms: int = _count(0)
     cold_factor: float = _positive()
     error_rate: float = _number()
-    routes: tuple[RouteWork, ...] = _tables(RouteWork)
+    routes: tuple[RouteWork, ...] = tables(RouteWork)
 
 
 @frozen
@@ -107,7 +87,7 @@
 
     callers: int = _count()
     timeout_ms: int = _count()
-    calls: tuple[NestedCall, ...] = _tables(NestedCall)
+    calls: tuple[NestedCall, ...] = tables(NestedCall)
 
 
 @frozen
--- /dev/null
+++ b/src/monsoonmill/standin/faults_control.py
@@ -0,0 +1,44 @@
+"""HTTP control of the fault-injecting proxy."""
+
+from collections.abc import Callable
+from json import loads
+
+from attrs import asdict
+
+from monsoonmill.standin.faults_messages import FaultSet, Scope, SetFault, StatusWanted
+from monsoonmill.standin.faults_modes import FaultError, fault_from_document
+from monsoonmill.standin.http_front import HttpAnswer, RequestHandler
+from monsoonmill.standin.reply_box import ClientGone, ReplyBox
+
+
+class FaultsHandler(RequestHandler):
+    """Serves ``GET /faults`` and ``POST /faults``."""
+
+    def __init__(self, post: Callable[[object], None]):
+        self._post = post
+
+    def serve(self, method, path, headers, body, box: ReplyBox) -> HttpAnswer | None:
+        """Return the answer of a request; None if the client has gone."""
+        if path != "/faults":
+            return HttpAnswer.problem("404 Not Found", "only /faults is served")
+        try:
+            message = _parse(body, box) if method == "POST" else StatusWanted(box)
+        except (FaultError, ValueError) as exc:
+            return HttpAnswer.problem("400 Bad Request", str(exc))
+        self._post(message)
+        done = box.take()
+        if isinstance(done, ClientGone):
+            return None
+        if done == FaultSet(0):
+            return HttpAnswer.problem("404 Not Found", "no such pair")
+        return HttpAnswer.from_document(asdict(done))
+
+
+def _parse(body, box):
+    doc = loads(body)
+    if not isinstance(doc, dict):
+        raise FaultError("the body must be an object")
+    pair = doc.pop("pair", "")
+    scope = Scope(doc.pop("scope", Scope.ALL.value))
+    mode = doc.pop("mode", None)
+    return SetFault(pair, fault_from_document(mode, doc), scope, box)
--- /dev/null
+++ b/src/monsoonmill/standin/faults_messages.py
@@ -0,0 +1,60 @@
+"""Messages to the proxy's task."""
+
+from enum import Enum, unique
+
+from attrs import frozen
+
+from monsoonmill.standin.faults_modes import Fault
+
+
+@unique
+class Scope(Enum):
+    """Connections that a fault is set for."""
+
+    EXISTING = "existing"
+    NEW = "new"
+    ALL = "all"
+
+
+@frozen
+class SetFault:
+    """Sets the fault of a pair's connections; an empty name means all pairs."""
+
+    pair: str
+    fault: Fault
+    scope: Scope
+    reply: object
+
+
+@frozen
+class StatusWanted:
+    """Asks for the state of all pairs."""
+
+    reply: object
+
+
+@frozen
+class FaultSet:
+    """Tells that a fault is in force for this many pairs."""
+
+    pairs: int
+
+
+@frozen
+class PairStatus:
+    """State of one pair."""
+
+    name: str
+    port: int
+    target: str
+    mode: str
+    connections: int
+    to_target_bytes: int
+    to_client_bytes: int
+
+
+@frozen
+class ProxyStatus:
+    """State of all pairs."""
+
+    pairs: tuple[PairStatus, ...]
--- /dev/null
+++ b/src/monsoonmill/standin/http_front.py
@@ -0,0 +1,129 @@
+"""HTTP front end of the stand-ins: cheroot outside, messages inside."""
+
+from abc import ABC, abstractmethod
+from json import dumps
+
+from attrs import field, frozen
+from cheroot.server import Gateway, HTTPServer
+
+from monsoonmill.eventlog import get_logger
+from monsoonmill.standin.options import ListenError
+from monsoonmill.standin.reply_box import ReplyBox
+from monsoonmill.task import Task
+
+log = get_logger(__name__)
+
+LISTEN_BACKLOG = 1024
+
+
+@frozen
+class HttpAnswer:
+    """Status, headers and body of an answer."""
+
+    status: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = field(default=b"", repr=False)
+
+    @classmethod
+    def from_document(cls, document: object, status: str = "200 OK") -> "HttpAnswer":
+        """Build an answer of JSON."""
+        body = dumps(document).encode()
+        return cls(status, (("Content-Type", "application/json"),), body)
+
+    @classmethod
+    def problem(cls, status: str, detail: str) -> "HttpAnswer":
+        """Build an answer that tells what is wrong with the request."""
+        return cls.from_document({"detail": detail}, status)
+
+
+class RequestHandler(ABC):
+    """Serves requests; many threads call it at once."""
+
+    @abstractmethod
+    def serve(
+        self, method: str, path: str, headers: dict, body: bytes, box: ReplyBox
+    ) -> HttpAnswer | None:
+        """Return the answer of a request; None if the client has gone.
+
+        Parameters
+        ----------
+        headers : dict
+            Values by names in lower case.
+        box : ReplyBox
+            Takes the messages of tasks for this request.
+        """
+
+
+class HandlerGateway(Gateway):
+    """Connects cheroot's requests with the ``RequestHandler``."""
+
+    def respond(self):
+        """Serve the current request."""
+        req = self.req
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in req.inheaders.items()
+        }
+        path = req.uri.decode("latin-1").partition("?")[0]
+        body = req.rfile.read()
+        with ReplyBox(req.conn.socket) as box:
+            handler = req.server.handler
+            answer = handler.serve(req.method.decode(), path, headers, body, box)
+        if answer is None:
+            req.close_connection = True
+            answer = HttpAnswer("499 Client Closed Request")
+        self._send(answer)
+
+    def _send(self, answer):
+        req = self.req
+        req.status = answer.status.encode()
+        size = str(len(answer.body))
+        for name, value in (*answer.headers, ("Content-Length", size)):
+            req.outheaders.append((name.encode(), value.encode()))
+        req.ensure_headers_sent()
+        if answer.body:
+            req.write(answer.body)
+
+
+class HandlerServer(HTTPServer):
+    """A cheroot server that knows its ``RequestHandler``."""
+
+    request_queue_size = LISTEN_BACKLOG
+
+    def __init__(self, bind_addr, threads: int, handler: RequestHandler):
+        super().__init__(bind_addr, HandlerGateway, minthreads=threads)
+        self.handler = handler
+
+    def error_log(self, msg="", level=20, traceback=False):
+        """Log what cheroot reports."""
+        log.warning("http", message=msg)
+
+
+class HttpFront(Task):
+    """Owns the HTTP server and its listening socket."""
+
+    def __init__(self, bind_addr, threads: int, handler: RequestHandler):
+        super().__init__("http")
+        self._server = HandlerServer(bind_addr, threads, handler)
+
+    def listen(self) -> int:
+        """Open the listening socket and return its port.
+
+        Raises
+        ------
+        ListenError
+            The address is not free or not this machine's.
+        """
+        try:
+            self._server.prepare()
+        except OSError as exc:
+            raise ListenError(self._server.bind_addr, exc) from exc
+        return self._server.bind_addr[1]
+
+    def run(self) -> None:
+        """Serve until ``stop``."""
+        self._server.serve()
+
+    def stop(self) -> None:
+        """Close the server and its connections."""
+        self._server.stop()
