Add the open-loop load generator

monsoon-load sends calls at seeded Poisson arrivals that don't depend on the answers, from a bounded number of callers that each own their connections. A late start is counted and never dropped. Every answer's id, length, padding and CRC are checked; the result holds counts by stream, outcome and reason, HDR latencies from the time a call was due, the worst-served organisation's share of the calls its rate covers, unjust refusals and a timeline. LoadPlan and run_load work without the command line.

The tests found that the stand-in's answers were one or two bytes longer than the length they told when the answer size was below the shortest body; the length now has a fixed width.

--- /dev/null
+++ b/src/monsoonmill/load/program.py
@@ -0,0 +1,92 @@
+"""Command line of ``monsoon-load``."""
+
+import sys
+from json import dumps
+from pathlib import Path
+
+from absl import logging
+
+from monsoonmill.errors import SettingsError
+from monsoonmill.load.driver import run_load
+from monsoonmill.load.plan import LoadPlan
+from monsoonmill.load.plot import plot_result
+from monsoonmill.standin.options import run_program
+
+
+def monsoon_load(
+    *,
+    config=None,
+    addresses=None,
+    duration_s=None,
+    callers=None,
+    random_seed=None,
+    output=None,
+    plot=None,
+    log_level=None,
+):
+    """Send calls at given rates, whatever the answers, and measure them.
+
+    Parameters
+    ----------
+    config : str
+        TOML file that overlays the shipped defaults; it lists the streams.
+    addresses : str
+        Call addresses of nodes, with commas between them.
+    duration_s : float
+        Length of the run.
+    callers : int
+        Calls under way at once.
+    random_seed : int
+        Seed of the arrivals.
+    output : str
+        Result file in JSON; standard output if none is given.
+    plot : str
+        Image file for a plot over time.
+    log_level : str
+        debug, info, warning or error.
+    """
+    if isinstance(addresses, str):
+        addresses = addresses.split(",")
+    return LoadPlan.from_file(
+        config,
+        addresses=addresses,
+        duration_s=duration_s,
+        callers=callers,
+        random_seed=random_seed,
+        output=output,
+        plot=plot,
+        log_level=log_level,
+    )
+
+
+def run(plan: LoadPlan) -> int:
+    """Run the plan, write its result and return the exit status."""
+    logging.set_verbosity(plan.log_level)
+    if plan.output:
+        # An unusable path shows before the run, not after it.
+        _write(plan.output, "")
+    result = run_load(plan)
+    text = dumps(result.as_document(), indent=2) + "\n"
+    if plan.output:
+        _write(plan.output, text)
+    else:
+        sys.stdout.write(text)
+    if plan.plot:
+        plot_result(result, plan.plot)
+    return 0
+
+
+def _write(path, text):
+    try:
+        Path(path).write_text(text, encoding="utf-8")
+    except OSError as exc:
+        raise SettingsError(path, "load.output", exc.strerror) from exc
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program and return its exit status."""
+    return run_program(monsoon_load, run, argv)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/monsoonmill/standin/echo.py
+++ b/src/monsoonmill/standin/echo.py
@@ -12,6 +12,9 @@
 ID_HEADER = "X-Request-Id"
 """Header by which a request names itself."""
 
+LENGTH_DIGITS = 10
+"""Fixed width of the length, so that it doesn't change the length itself."""
+
 
 @frozen
 class Echo:
@@ -41,7 +44,7 @@
     try:
         doc = loads(body)
         padding = doc["padding"]
-        matches = doc["id"] == request_id and doc["length"] == len(body)
+        matches = doc["id"] == request_id and int(doc["length"]) == len(body)
     except (ValueError, KeyError, TypeError):
         return False
     return matches and padding == _padding(request_id, len(padding))
@@ -52,7 +55,7 @@
         "id": echo.id,
         "service": echo.service,
         "backend_server": echo.backend_server,
-        "length": length,
+        "length": f"{length:0{LENGTH_DIGITS}d}",
         "padding": padding,
     }
     return dumps(doc).encode()
--- a/src/monsoonmill/standin/faults_link.py
+++ b/src/monsoonmill/standin/faults_link.py
@@ -19,7 +19,7 @@
 from monsoonmill.model import Address
 from monsoonmill.standin.faults_flow import Flow
 from monsoonmill.standin.faults_modes import Direction, Fault
-from monsoonmill.standin.faults_timers import Timers
+from monsoonmill.standin.timers import Timers
 
 LINGER_RESET = pack("ii", 1, 0)
 """Socket option that makes a close send a reset."""
--- a/src/monsoonmill/standin/faults_task.py
+++ b/src/monsoonmill/standin/faults_task.py
@@ -17,8 +17,8 @@
 )
 from monsoonmill.standin.faults_modes import Direction, Fault, PassThrough
 from monsoonmill.standin.faults_settings import FaultsSettings, PairSettings
-from monsoonmill.standin.faults_timers import Timers
 from monsoonmill.standin.options import ListenError
+from monsoonmill.standin.timers import Timers
 from monsoonmill.task import Stop, Task
 
 log = get_logger(__name__)
--- a/src/monsoonmill/standin/tables.py
+++ b/src/monsoonmill/standin/tables.py
@@ -5,9 +5,11 @@
 from attrs import field, fields
 
 
-def tables(cls: type):
+def tables(cls: type, validator=None):
     """Return a field that holds a list of tables, each read as ``cls``."""
-    return field(converter=lambda values: tuple(_read(cls, values)))
+    return field(
+        converter=lambda values: tuple(_read(cls, values)), validator=validator
+    )
 
 
 def _read(cls, values) -> Iterator[object]:
--- a/src/monsoonmill/standin/faults_timers.py
+++ b/src/monsoonmill/standin/timers.py
@@ -1,4 +1,4 @@
-"""Timers of the proxy's task."""
+"""Timers of a task."""
 
 from collections.abc import Iterator
 from heapq import heappop, heappush
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -18,7 +18,7 @@
 from monsoonmill.standin.backend import BackendServer
 from monsoonmill.standin.backend_program import main
 from monsoonmill.standin.backend_settings import BackendSettings
-from monsoonmill.standin.echo import CRC_HEADER, Echo, is_whole, make_body
+from monsoonmill.standin.echo import CRC_HEADER, Echo, body_crc, is_whole, make_body
 
 POLL_S = 0.02
 LIMIT_TURNS = 250
@@ -88,9 +88,14 @@
     assert import_from_yaml(chart.read_text()).name == "backend_standin"
 
 
-def test_cut_answer_is_noticed():
-    body = make_body(Echo("r", "s", "b"), 300)
-    assert not is_whole(body[:-1], "00000000", "r")
+@pytest.mark.parametrize("size", [0, 9, 99, 100, 101, 150, 1000, 10_000])
+def test_cut_or_changed_answer_is_noticed(size):
+    body = make_body(Echo("r", "s", "b"), size)
+    assert len(body) == max(size, len(make_body(Echo("r", "s", "b"), 0)))
+    assert is_whole(body, body_crc(body), "r")
+    for damaged in (body[:-1], body[:-3] + body[-2:], body.replace(b"r", b"q", 1)):
+        assert not is_whole(damaged, body_crc(damaged), "r")
+        assert not is_whole(damaged, body_crc(body), "r")
 
 
 def test_full_queue_sheds_without_running(start):
@@ -205,8 +210,15 @@
 @pytest.fixture
 def program(tmp_path):
     record = tmp_path / "record.jsonl"
+    config = tmp_path / "backend.toml"
+    config.write_text("[drain]\nsettle_ms = 50\n")
     command = [sys.executable, "-m", "monsoonmill.standin.backend_program"]
-    flags = ["--port=0", f"--record_file={record}", "--poison_marker=venom"]
+    flags = [
+        "--port=0",
+        f"--config={config}",
+        f"--record_file={record}",
+        "--poison_marker=venom",
+    ]
     process = subprocess.Popen(command + flags, stdout=subprocess.PIPE, text=True)
     word, port = process.stdout.readline().split()
     assert word == "ready"
