Take a backend server out of use when it refuses connections; add the demonstration

Ruled out: a longer retry allowance, which only pays for the same mistake. Now the node beside it tells the fleet at the first refused connection. Test: test_backend_server_that_refuses_connections_gets_no_more_calls failed before (over 10 refused connections), passes now.

--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -16,6 +16,7 @@
     Admitted,
     BackendAnnounced,
     BackendCrashed,
+    BackendUnreachable,
     LeaveQueue,
     NotAdmitted,
     Received,
@@ -274,6 +275,8 @@
         """Reply with the end of a request."""
         if signal.failure is RunFailure.CONNECTION_LOST:
             yield BackendCrashed(tuple(self._running_fingerprints()))
+        elif signal.failure is RunFailure.NOT_SENT:
+            yield BackendUnreachable()
         yield from self._send(signal.attempt, "finished", now, signal)
 
     def _running_fingerprints(self):
--- a/src/monsoonmill/decisions/membership.py
+++ b/src/monsoonmill/decisions/membership.py
@@ -18,6 +18,7 @@
 from monsoonmill.decisions.signals import (
     AddressLearned,
     BackendAnnounced,
+    BackendUnreachable,
     ConfigChanged,
     Connect,
     MemberChanged,
@@ -136,6 +137,7 @@
         """Return the handlers of this decision."""
         return {
             BackendAnnounced: self.on_backend_announced,
+            BackendUnreachable: self.on_backend_unreachable,
             SelfLeaving: self.on_self_leaving,
             PeerUp: self.on_peer_up,
             PeerDown: self.on_peer_down,
@@ -193,6 +195,12 @@
         ttl_s = self.cfg.members.announce_ttl_ms / 1000
         self.timers.set(ANNOUNCEMENT, now + ttl_s)
 
+    def on_backend_unreachable(self, signal, now):
+        """Take no calls until the backend server announces itself again."""
+        if self.own.accepts_calls:
+            self.change_own(accepts_calls=False)
+            yield from self._gossip_now(now)
+
     def on_self_leaving(self, signal, now):
         """Tell the fleet that this node takes no more calls."""
         self.change_own(state=MemberState.LEAVING, accepts_calls=False)
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -215,6 +215,11 @@
     timed_out: bool
 
 
+@frozen
+class BackendUnreachable:
+    """The backend server refused a connection; it is gone or not up yet."""
+
+
 @frozen
 class BackendCrashed:
     """The backend server broke a connection while these requests ran.
--- /dev/null
+++ b/src/monsoonmill/load/added_latency.py
@@ -0,0 +1,49 @@
+"""Latency that the nodes add to a call, against a direct call."""
+
+from attrs import frozen
+from urllib3 import HTTPConnectionPool
+
+from monsoonmill.clock import SystemClock
+from monsoonmill.counters import LatencyHistogram
+from monsoonmill.load.launcher import HOST, NotReadyError
+from monsoonmill.load.small_fleet import SmallFleet
+
+CALLS = 40
+PATH = "/lookup"
+
+
+@frozen
+class AddedLatency:
+    """Difference between calls through the nodes and direct ones."""
+
+    p50_ms: float
+    p99_ms: float
+
+    def __str__(self):
+        return f"{self.p50_ms:.2f} ms median, {self.p99_ms:.2f} ms for 99 in 100"
+
+
+def measure_added_latency(fleet: SmallFleet, secret: str) -> AddedLatency:
+    """Send calls one after another, directly and through a node."""
+    host = fleet.hosts[0]
+    headers = {"Authorization": f"Bearer {secret}"}
+    path = f"/{host.plan.service}{PATH}"
+    direct = _measure(host.backend.port, PATH, {})
+    through = _measure(host.ports["call_port"], path, headers)
+    return AddedLatency(
+        through.percentile_ms(50) - direct.percentile_ms(50),
+        through.percentile_ms(99) - direct.percentile_ms(99),
+    )
+
+
+def _measure(port, path, headers):
+    histogram = LatencyHistogram()
+    clock = SystemClock()
+    with HTTPConnectionPool(HOST, port, retries=False) as pool:
+        for _ in range(CALLS):
+            started = clock.now()
+            response = pool.request("GET", path, headers=headers)
+            if response.status != 200:
+                raise NotReadyError(f"{path}: status {response.status}")
+            histogram.record(clock.now() - started)
+    return histogram
--- a/src/monsoonmill/node/web.py
+++ b/src/monsoonmill/node/web.py
@@ -94,7 +94,6 @@
         self.server.counters.add("too-large" if code == "413" else "bad-request")
         super().simple_response(status, msg)
 
-
     def write_whole(self, body: bytes) -> None:
         """Write the headers and the body with one call to the kernel."""
         wfile = self.conn.wfile
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -85,3 +85,26 @@
     assert fleet.advance_until(
         lambda: all(len(list(node.core.members.live())) == 3 for node in others)
     )
+
+
+def test_backend_server_that_refuses_connections_gets_no_more_calls():
+    refused = []
+
+    def refuse_at_one(node, call):
+        if node is nodes[2]:
+            refused.append(call)
+            failure = RunFailure.NOT_SENT
+            return 0.001, RunFinished(call.attempt, None, failure)
+        return answer_ok(node, call)
+
+    fleet, nodes = make_fleet(run=refuse_at_one)
+    nodes[2].backend_gone = True
+    names = []
+    for number in range(200):
+        path = f"/lookup/{number}"
+        names.append(fleet.call(nodes[0], "donkeys", path, bearer=SECRET))
+        fleet.advance(0.01)
+    fleet.advance(1)
+    answers = [nodes[0].answers[name] for name in names]
+    assert all(one.outcome is Outcome.DONE for one in answers)
+    assert len(refused) < 10
