Keep idle connections of the stand-ins open

cheroot closes all but ten idle connections and those idle for 10 s, which a node would see as lost connections. 4096 are kept now for 300 s; the new test failed with cheroot's own limit. The backend's task also knows its health before the first request can come in.

--- a/src/monsoonmill/standin/backend.py
+++ b/src/monsoonmill/standin/backend.py
@@ -49,8 +49,8 @@
         self._handler.name = backend.name or str(address)
         self._task.start()
         self._crew.start()
-        self._front.start()
         self._task.post(Listening())
+        self._front.start()
         if backend.node is not None:
             self._announcer = Announcer(self.settings, address, self._task.post)
             self._announcer.inbox = self._announcements
--- a/src/monsoonmill/standin/backend_task.py
+++ b/src/monsoonmill/standin/backend_task.py
@@ -92,6 +92,7 @@
             AnnounceFailed: lambda message: self.counters.add("announce-failed"),
         }
         self._chart = CHART.start(self)
+        self._note_health()
 
     def wait_s(self) -> float | None:
         """Return the time until a timer is due."""
--- a/src/monsoonmill/standin/http_front.py
+++ b/src/monsoonmill/standin/http_front.py
@@ -15,6 +15,12 @@
 
 LISTEN_BACKLOG = 1024
 
+IDLE_CONNECTION_S = 300
+"""Time after which an idle connection is closed."""
+
+IDLE_CONNECTIONS = 4096
+"""Idle connections that are kept open."""
+
 
 @frozen
 class HttpAnswer:
@@ -89,6 +95,8 @@
     """A cheroot server that knows its ``RequestHandler``."""
 
     request_queue_size = LISTEN_BACKLOG
+    timeout = IDLE_CONNECTION_S
+    keep_alive_conn_limit = IDLE_CONNECTIONS
 
     def __init__(self, bind_addr, threads: int, handler: RequestHandler):
         super().__init__(bind_addr, HandlerGateway, minthreads=threads)
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -98,6 +98,18 @@
         assert not is_whole(damaged, body_crc(body), "r")
 
 
+def test_idle_connections_are_kept(start):
+    _, pool = start()
+    conns = [HTTPConnection(pool.host, pool.port) for _ in range(30)]
+    for _ in range(2):
+        for conn in conns:
+            conn.request("GET", "/a")
+            response = conn.getresponse()
+            assert response.data and "close" != response.headers.get("Connection")
+    for conn in conns:
+        conn.close()
+
+
 def test_full_queue_sheds_without_running(start):
     _, pool = start(
         routes=[{"path": "/", "mean_ms": 300}], work_slots=1, work_queue_length=0
