--- a/src/monsoonmill/standin/backend_messages.py
+++ b/src/monsoonmill/standin/backend_messages.py
@@ -1,11 +1,16 @@
 """Messages between the tasks of the stand-in backend server."""
 
 from attrs import field, frozen
+from attrs.validators import instance_of, optional
 
 from monsoonmill.reasons import Reason
 from monsoonmill.standin.backend_settings import NestedCall
 
 
+def _optional(*types):
+    return field(default=None, validator=optional(instance_of(types)))
+
+
 @frozen
 class WorkArrived:
     """A request came in.
@@ -96,11 +101,11 @@
     """Changes behaviour at run time; None leaves a value as it is."""
 
     reply: object
-    factor: float | None = None
-    stall: bool | None = None
-    error_rate: float | None = None
-    seed: int | None = None
-    draining: bool | None = None
+    factor: float | None = _optional(int, float)
+    stall: bool | None = _optional(bool)
+    error_rate: float | None = _optional(int, float)
+    seed: int | None = _optional(int)
+    draining: bool | None = _optional(bool)
 
 
 @frozen
--- a/src/monsoonmill/standin/backend_task.py
+++ b/src/monsoonmill/standin/backend_task.py
@@ -136,10 +136,6 @@
         self._phase_end = self.clock.now() + cold_s
         self._cold_factor = self.settings.work.cold_factor if cold_s else 1.0
 
-    def warmed(self, arg: object) -> bool:
-        """Return whether the cold start is over."""
-        return True
-
     def begin_serving(self, arg: object) -> None:
         """Run at full speed and be announced as accepting requests."""
         self._phase_end = None
--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -192,7 +192,8 @@
     pool.request("POST", "/control", json={"stall": True})
     with pytest.raises(HTTPError):
         pool.request("GET", "/a", timeout=0.2)
-    assert pool.request("POST", "/control", json={"bad": 1}).status == 400
+    for doc in ({"bad": 1}, {"factor": "2"}, {"stall": 1}, []):
+        assert pool.request("POST", "/control", json=doc).status == 400
 
 
 def test_nested_calls_carry_context_and_copy_the_reason(start):
