--- a/tests/test_standin_backend.py
+++ b/tests/test_standin_backend.py
@@ -98,6 +98,18 @@
         assert not is_whole(damaged, body_crc(body), "r")
 
 
+def test_idle_connections_are_kept(start):
+    _, pool = start()
+    conns = [HTTPConnection(pool.host, pool.port) for _ in range(30)]
+    for _ in range(2):
+        for conn in conns:
+            conn.request("GET", "/a")
+            response = conn.getresponse()
+            assert response.data and "close" != response.headers.get("Connection")
+    for conn in conns:
+        conn.close()
+
+
 def test_full_queue_sheds_without_running(start):
     _, pool = start(
         routes=[{"path": "/", "mean_ms": 300}], work_slots=1, work_queue_length=0
@@ -180,7 +192,8 @@
     pool.request("POST", "/control", json={"stall": True})
     with pytest.raises(HTTPError):
         pool.request("GET", "/a", timeout=0.2)
-    assert pool.request("POST", "/control", json={"bad": 1}).status == 400
+    for doc in ({"bad": 1}, {"factor": "2"}, {"stall": 1}, []):
+        assert pool.request("POST", "/control", json=doc).status == 400
 
 
 def test_nested_calls_carry_context_and_copy_the_reason(start):
