Cut the processor time of a call: compiled buffers, worked-out charts, kept selectors

Cause, by profile: cheroot reads through the interpreter's pure-Python buffered file; each chart event walked paths and guards anew; each request to a backend server made a selector. Ruled out: the decisions themselves as the main cost (0.22 ms a call for both roles of a node).

--- a/src/monsoonmill/chart.py
+++ b/src/monsoonmill/chart.py
@@ -156,21 +156,101 @@
     return Chart.from_yaml(text)
 
 
+Function = Callable[[object, object], object]
+"""A guard or action: takes the owner of the instance and the event's argument."""
+
+
+@frozen
+class Step:
+    """One step of a transition: a state that becomes active, a function, or both."""
+
+    state: str | None
+    function: Function | None
+
+
+@frozen
+class Candidate:
+    """A transition as seen from one active state, ready to be carried out."""
+
+    guard: Function | None
+    steps: tuple[Step, ...]
+
+
 class BoundChart:
     """A chart whose guards and actions are functions.
 
-    Functions take the owner of the instance and the event's argument.
+    All transitions are worked out here for each state and event, so that an
+    event costs one look-up.
+
+    Attributes
+    ----------
+    paths : dict
+        States from the root down to each state.
     """
 
-    def __init__(self, chart: Chart, bindings: dict[str, Callable]):
+    def __init__(self, chart: Chart, bindings: dict[str, Function]):
         self.chart = chart
-        self.bindings = bindings
         self.paths = {name: chart.path(name) for name in chart.states}
+        self._bindings = bindings
+        self.initial_steps = self._entries([chart.root])
+        self._table = {
+            name: {
+                event: tuple(self._candidates(name, event))
+                for event in self._events(name)
+            }
+            for name in chart.states
+        }
 
     def start(self, owner: object) -> "ChartInstance":
         """Return an instance in the chart's initial state."""
         return ChartInstance(self, owner)
 
+    def candidates(self, state: str, event: str) -> tuple[Candidate, ...]:
+        """Return the transitions for an event, innermost state first."""
+        return self._table[state].get(event, ())
+
+    def _events(self, state):
+        return {
+            event
+            for name in self.paths[state]
+            for event in self.chart.states[name].transitions
+        }
+
+    def _candidates(self, state, event):
+        for name in reversed(self.paths[state]):
+            for transition in self.chart.states[name].transitions.get(event, ()):
+                guard = self._function(transition.guard)
+                yield Candidate(guard, self._steps(state, transition))
+
+    def _steps(self, state, transition):
+        action = Step(None, self._function(transition.action))
+        if transition.target is None:
+            return _useful([action])
+        target_path = self.paths[transition.target]
+        keep = _common_ancestors(self.paths[transition.source], target_path)
+        exits = [
+            Step(None, self._function(self.chart.states[name].on_exit))
+            for name in reversed(self.paths[state][keep:])
+        ]
+        return _useful([*exits, action, *self._entries(target_path[keep:])])
+
+    def _entries(self, names):
+        """Return the steps that enter states and their initial descendants."""
+        names = list(names)
+        while (initial := self.chart.states[names[-1]].initial) is not None:
+            names.append(initial)
+        return tuple(
+            Step(name, self._function(self.chart.states[name].on_entry))
+            for name in names
+        )
+
+    def _function(self, name):
+        return None if name is None else self._bindings[name]
+
+
+def _useful(steps):
+    return tuple(one for one in steps if one.state or one.function)
+
 
 def bind_methods(chart_name: str, owner_class: type) -> BoundChart:
     """Bind a shipped chart to the methods of a class that bear its names."""
@@ -195,8 +275,7 @@
         self._bound = bound
         self._owner = owner
         self.state = bound.chart.root
-        self._act(bound.chart.states[self.state].on_entry, None)
-        self._descend(None)
+        self._carry_out(bound.initial_steps, None)
 
     @property
     def finished(self) -> bool:
@@ -212,43 +291,19 @@
 
         The innermost state with an enabled transition handles the event.
         """
-        states = self._bound.chart.states
-        for name in reversed(self._bound.paths[self.state]):
-            for transition in states[name].transitions.get(event, ()):
-                if self._enabled(transition, arg):
-                    self._take(transition, arg)
-                    return True
+        for candidate in self._bound.candidates(self.state, event):
+            guard = candidate.guard
+            if guard is None or guard(self._owner, arg):
+                self._carry_out(candidate.steps, arg)
+                return True
         return False
 
-    def _enabled(self, transition, arg):
-        if transition.guard is None:
-            return True
-        return bool(self._bound.bindings[transition.guard](self._owner, arg))
-
-    def _take(self, transition, arg):
-        if transition.target is None:
-            self._act(transition.action, arg)
-            return
-        paths = self._bound.paths
-        states = self._bound.chart.states
-        keep = _common_ancestors(paths[transition.source], paths[transition.target])
-        for name in reversed(paths[self.state][keep:]):
-            self._act(states[name].on_exit, arg)
-        self._act(transition.action, arg)
-        for name in paths[transition.target][keep:]:
-            self.state = name
-            self._act(states[name].on_entry, arg)
-        self._descend(arg)
-
-    def _descend(self, arg):
-        states = self._bound.chart.states
-        while states[self.state].initial is not None:
-            self.state = states[self.state].initial
-            self._act(states[self.state].on_entry, arg)
-
-    def _act(self, name, arg):
-        if name is not None:
-            self._bound.bindings[name](self._owner, arg)
+    def _carry_out(self, steps, arg):
+        for step in steps:
+            if step.state is not None:
+                self.state = step.state
+            if step.function is not None:
+                step.function(self._owner, arg)
 
 
 def _common_ancestors(source_path, target_path):
--- a/src/monsoonmill/node/egress.py
+++ b/src/monsoonmill/node/egress.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from http.client import HTTPException
 from selectors import EVENT_READ, DefaultSelector
+from socket import socket
 
 from attrs import frozen
 from urllib3.connection import HTTPConnection
@@ -62,6 +63,9 @@
         self._used_at = 0.0
         self._wake = Wake()
         self._aborts = Inbox()
+        self._watched: socket | None = None
+        self._selector = DefaultSelector()
+        self._selector.register(self._wake.reader, EVENT_READ)
 
     def abort(self, attempt: str) -> None:
         """Let the worker give up an attempt if it still is at it."""
@@ -80,6 +84,7 @@
     def close(self) -> None:
         """Close the connection."""
         self._disconnect()
+        self._selector.close()
         self._wake.close()
 
     def _run(self, call):
@@ -105,6 +110,8 @@
             self._conn.connect()
         except (HTTPError, OSError) as exc:
             raise RunError(RunFailure.NOT_SENT) from exc
+        self._watched = self._conn.sock
+        self._selector.register(self._watched, EVENT_READ)
 
     def _send(self, call):
         req = call.request
@@ -125,16 +132,13 @@
 
     def _await_answer(self, attempt, deadline):
         sock = self._conn.sock
-        with DefaultSelector() as selector:
-            selector.register(sock, EVENT_READ)
-            selector.register(self._wake.reader, EVENT_READ)
-            while (left_s := deadline - self._clock.now()) > 0:
-                ready = {key.fileobj for key, _ in selector.select(left_s)}
-                if self._wake.reader in ready and self._is_aborted(attempt):
-                    raise RunError(RunFailure.ABORTED)
-                if sock in ready:
-                    sock.settimeout(max(left_s, LEAST_TIMEOUT_S))
-                    return
+        while (left_s := deadline - self._clock.now()) > 0:
+            ready = {key.fileobj for key, _ in self._selector.select(left_s)}
+            if self._wake.reader in ready and self._is_aborted(attempt):
+                raise RunError(RunFailure.ABORTED)
+            if sock in ready:
+                sock.settimeout(max(left_s, LEAST_TIMEOUT_S))
+                return
         raise RunError(RunFailure.TIMED_OUT)
 
     def _is_aborted(self, attempt):
@@ -171,6 +175,9 @@
         return body
 
     def _disconnect(self):
+        if self._watched is not None:
+            self._selector.unregister(self._watched)
+            self._watched = None
         if self._conn is not None:
             self._conn.close()
             self._conn = None
--- a/src/monsoonmill/node/web.py
+++ b/src/monsoonmill/node/web.py
@@ -9,6 +9,7 @@
 from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
 from monsoonmill.counters import Counters
+from monsoonmill.node.socket_files import open_socket_file
 from monsoonmill.settings import HttpSettings
 
 PROBLEM_TYPE = "application/problem+json"
@@ -111,6 +112,9 @@
 
     RequestHandlerClass = CountingRequest
 
+    def __init__(self, server, sock, makefile=None):
+        super().__init__(server, sock, open_socket_file)
+
 
 class AppGateway(Gateway):
     """Reads a request, asks the server's app, and writes the response."""
