Keep outcomes honest over several attempts and take leave of peers at a stop

Causes, found by reading the paths to each answer: an attempt that may have run was forgotten when a later one was refused as not run; a body damaged between nodes was passed on unchecked; a stopping node closed its streams with bytes unsent and with calls of others under way to it. Now a call remembers that an attempt may have run, the digest is checked where the call came in, and a node ends after an exchange of goodbyes, so that what others send later is known not to have left. A call whose key was withdrawn while it waited is not sent; a signal that can't be handled is counted and does not end the node. Tests: two new ones in tests/test_whole_path.py failed before, pass now.

--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -3,6 +3,7 @@
 from itertools import count
 
 from attrs import define, evolve, field, frozen
+from xxhash import xxh3_64_intdigest
 
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.counters import Counters
@@ -86,6 +87,8 @@
         Node that the attempt was sent to.
     excluded : set of str
         Nodes that have failed this call.
+    may_have_run : bool
+        Whether any attempt so far may have run, whatever became of later ones.
     """
 
     arrival: CallArrived
@@ -102,6 +105,7 @@
     sent_at: float = 0.0
     excluded: set[str] = field(factory=set)
     failure: Failure | None = None
+    may_have_run: bool = False
     has_claim: bool = False
     chart: ChartInstance | None = None
     now: float = 0.0
@@ -176,15 +180,15 @@
 
     def answer_expired(self, arg):
         """Tell the caller that the time is up."""
-        ran = Outcome.UNKNOWN if self.attempt else Outcome.NOT_RUN
+        outcome = self._outcome_so_far()
         self._cancel_attempt(timed_out=True)
-        self._answer(Answer(self.name, ran, reason=Reason.DEADLINE))
+        self._answer(Answer(self.name, outcome, reason=Reason.DEADLINE))
 
     def abandon(self, arg):
         """Stop what is under way, since nobody waits for the answer."""
-        ran = Outcome.UNKNOWN if self.attempt else Outcome.NOT_RUN
+        outcome = self._outcome_so_far()
         self._cancel_attempt(timed_out=False)
-        self._answer(Answer(self.name, ran, reason=Reason.CANCELLED))
+        self._answer(Answer(self.name, outcome, reason=Reason.CANCELLED))
 
     def answer_over_rate(self, denied: TokenDenied):
         """Tell the caller that its organisation has spent its rate."""
@@ -215,7 +219,7 @@
         self._answer(
             Answer(
                 self.name,
-                failure.outcome,
+                self._outcome_so_far(),
                 reason=failure.reason,
                 retry_after_s=failure.retry_after_s,
             )
@@ -227,6 +231,11 @@
         )
         self._answer(refusal)
 
+    def _outcome_so_far(self):
+        """Return what is known when no answer has come."""
+        is_open = self.attempt or self.may_have_run
+        return Outcome.UNKNOWN if is_open else Outcome.NOT_RUN
+
     def _cancel_attempt(self, timed_out):
         if self.attempt:
             self.out.append(Send(self.node, Cancel(self.attempt)))
@@ -238,6 +247,15 @@
         self.out.append(answer)
 
 
+def check_whole(reply: Reply) -> Reply:
+    """Return a reply, or the failure that it is if its body is not whole."""
+    if reply.response is None or xxh3_64_intdigest(reply.response.body) == reply.digest:
+        return reply
+    return evolve(
+        reply, outcome=Outcome.UNKNOWN, reason=Reason.BROKEN_ANSWER, response=None
+    )
+
+
 CALL_CHART = bind_methods("call", Call)
 
 
@@ -402,6 +420,9 @@
     def start_attempt(self, call: Call) -> None:
         """Send a call to a node, or note that there is none."""
         service = call.route.service
+        if call.caller.key and self._authorization.is_withdrawn(call.caller.key):
+            call.out.append(ChartEvent("no_backend_server", Reason.KEY_WITHDRAWN))
+            return
         node = self._router.choose(
             service, call.context.importance, frozenset(call.excluded), call.now
         )
@@ -441,6 +462,7 @@
         if call is None or call.node != signal.node:
             self.counters.add("late-replies")
             return
+        reply = check_whole(reply)
         self.forget_attempt(call, reply, timed_out=False)
         call.tries = min(call.tries, max(reply.tries, NO_TRIES_LEFT))
         if reply.response is not None and reply.reason is None:
@@ -470,6 +492,8 @@
 
     def _fail(self, call, now):
         call.excluded.add(call.node)
+        if call.failure.outcome is not Outcome.NOT_RUN:
+            call.may_have_run = True
         yield from self._send(call.name, "attempt_failed", now)
 
     def forget_attempt(self, call: Call, reply: Reply | None, timed_out: bool) -> None:
--- a/src/monsoonmill/eventlog.py
+++ b/src/monsoonmill/eventlog.py
@@ -22,6 +22,10 @@
         """Log an event that an operator may want to look at."""
         logging.warning("%s", self._line(event, fields))
 
+    def traceback(self) -> None:
+        """Log the traceback of the exception that is being handled."""
+        logging.exception("%s", self._line("traceback", {}))
+
     def _line(self, event, fields):
         return dumps({"module": self.module, "event": event, **fields}, default=str)
 
--- a/src/monsoonmill/node/peers.py
+++ b/src/monsoonmill/node/peers.py
@@ -246,6 +246,24 @@
             yield from self._take_events(stream)
         self._dirty |= self._streams
 
+    @property
+    def has_streams(self) -> bool:
+        """Whether any stream is open."""
+        return bool(self._streams)
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether any stream has bytes to write."""
+        return any(stream.wants_to_write(True) for stream in self._streams)
+
+    def begin_close(self) -> None:
+        """Take no more connections and leave the streams that are open."""
+        self._selector.unregister(self._listener)
+        self._listener.close()
+        for stream in self._streams:
+            stream.leave()
+        self._dirty |= self._streams
+
     def close(self) -> None:
         """Close all sockets."""
         self._listener.close()
--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -134,6 +134,7 @@
     stopped.wait()
     node.drain()
     node.stop()
+    log.info("ended", node=node.core.node)
 
 
 def main() -> None:
--- a/src/monsoonmill/node/stream.py
+++ b/src/monsoonmill/node/stream.py
@@ -159,6 +159,10 @@
         """Return whether there are bytes to write."""
         return self.is_connecting or bool(self._out) or self._lanes.has(may_send_part)
 
+    def leave(self) -> None:
+        """Send nothing more; the stream closes when the other end agrees."""
+        self.chart.send("idle")
+
     def on_connected(self, error: int) -> None:
         """Take the end of the opening of the connection."""
         self.chart.send("broken" if error else "connected")
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -27,17 +27,22 @@
     Send,
     StatusReport,
 )
+from monsoonmill.errors import MonsoonError
 from monsoonmill.eventlog import get_logger
 from monsoonmill.messages import Hello
 from monsoonmill.node.egress import Idle, RunPool
 from monsoonmill.node.peers import PeerSockets
 from monsoonmill.node.wake import Wake
 from monsoonmill.platform.client import HttpPlatformClient, PlatformTask
+from monsoonmill.reasons import Reason
 from monsoonmill.settings import Settings
 from monsoonmill.task import Inbox, Stop, Task
 
 log = get_logger("node")
 
+GOODBYE_LIMIT_S = 1.0
+"""Longest wait for the other nodes' goodbyes."""
+
 
 @frozen
 class Ask:
@@ -92,6 +97,7 @@
             core.counters,
             clock.now(),
         )
+        self._is_drained = False
         self._tasks = {
             Answer: self._answer_call,
             NoteAccepted: self._answer_request,
@@ -125,9 +131,17 @@
         self._carry_out(self._core.start(now), now)
         while self._step():
             pass
+        self._say_goodbye()
         self._peers.close()
         self._wake.close()
 
+    def _say_goodbye(self):
+        """Take leave of the other nodes, so that no message to them is lost."""
+        limit = self._clock.now() + GOODBYE_LIMIT_S
+        self._peers.begin_close()
+        while self._peers.has_streams and self._clock.now() < limit:
+            self._step()
+
     def _step(self):
         ready = self._selector.select(self._wait_s())
         now = self._clock.now()
@@ -142,6 +156,8 @@
         self._carry_out(self._core.tick(now), now)
         self._handle_all(self._peers.tick(now), now)
         self._handle_all(self._peers.flush(now), now)
+        if self._is_drained and not self._peers.has_unsent:
+            self.drained.set()
         return is_running
 
     def _wait_s(self):
@@ -165,12 +181,18 @@
             elif isinstance(message, Idle):
                 self._run_pool.on_idle(message)
                 message = message.finished
-            self._carry_out(self._core.handle(message, now), now)
+            self._handle_all((message,), now)
         return True
 
     def _handle_all(self, signals: Iterable[object], now):
         for signal in signals:
-            self._carry_out(self._core.handle(signal, now), now)
+            try:
+                self._carry_out(self._core.handle(signal, now), now)
+            except MonsoonError as exc:
+                self._count_failure(signal, exc)
+            except Exception as exc:
+                self._count_failure(signal, exc)
+                log.traceback()
 
     def _carry_out(self, signals: Iterable[object], now):
         for signal in signals:
@@ -183,6 +205,12 @@
             elif cls in self._tasks:
                 self._tasks[cls](signal)
 
+    def _count_failure(self, signal, exc):
+        # One signal that can't be handled must not end the node.
+        self._core.counters.add(Reason.INTERNAL)
+        kind = type(getattr(signal, "message", signal)).__name__
+        log.warning("signal_failed", signal=kind, error=type(exc).__name__)
+
     def _answer_call(self, answer):
         reply = self._replies.pop(answer.call, None)
         if reply is not None:
@@ -210,4 +238,4 @@
 
     def _tell_drained(self, signal):
         log.info("drained")
-        self.drained.set()
+        self._is_drained = True
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -104,6 +104,7 @@
         self.executed: list[tuple[str, signals.RunCall]] = []
         self.cut: set[frozenset] = set()
         self.latency_s = LATENCY_S
+        self.damage: Callable = lambda message: message
         self._run = run or answer_ok
         self._rng = Random(seed)
         self._numbers = count(1)
@@ -243,7 +244,7 @@
             lost = signals.PeerUnreachable(signal.node, signal.message)
             self._later(self.latency_s, lambda: self.give(node, lost))
             return
-        received = signals.Received(node.name, signal.message)
+        received = signals.Received(node.name, self.damage(signal.message))
         self._later(self.latency_s, lambda: self._deliver(node, other, received))
 
     def _deliver(self, node, other, received):
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,6 +1,9 @@
 """A call's way through the decisions of several nodes."""
 
+from attrs import evolve
+
 from monsoonmill.decisions.signals import DrainRequested, RunFailure, RunFinished
+from monsoonmill.messages import Reply
 from monsoonmill.reasons import Outcome, Reason
 from tests.configs import SECRET, small_config
 from tests.fleet import FakeFleet, answer_ok
@@ -108,3 +111,33 @@
     answers = [nodes[0].answers[name] for name in names]
     assert all(one.outcome is Outcome.DONE for one in answers)
     assert len(refused) < 10
+
+
+def test_refusal_after_a_lost_answer_does_not_claim_that_nothing_ran():
+    def lose_then_refuse(node, call):
+        is_first = len(fleet.executed) == 1
+        failure = RunFailure.CONNECTION_LOST if is_first else RunFailure.NOT_SENT
+        return 0.01, RunFinished(call.attempt, None, failure)
+
+    fleet, nodes = make_fleet(run=lose_then_refuse)
+    name = fleet.call(nodes[0], "donkeys", "/lookup/1", bearer=SECRET)
+    fleet.advance(1)
+    answer = nodes[0].answers[name]
+    assert answer.reason is Reason.UNREACHABLE
+    assert answer.outcome is Outcome.UNKNOWN
+
+
+def test_answer_that_lost_a_byte_between_nodes_is_no_answer():
+    fleet, nodes = make_fleet(size=2)
+    nodes[0].backend_gone = True
+    fleet.advance_until(lambda: not nodes[0].core.members.own.accepts_calls)
+    fleet.damage = lambda message: (
+        evolve(message, response=evolve(message.response, body=b"cut"))
+        if isinstance(message, Reply) and message.response
+        else message
+    )
+    name = fleet.call(nodes[0], "donkeys", "/pledges", "POST", bearer=SECRET)
+    fleet.advance(1)
+    answer = nodes[0].answers[name]
+    assert answer.reason is Reason.BROKEN_ANSWER
+    assert answer.outcome is Outcome.UNKNOWN
