--- a/src/monsoonmill/codec_json.py
+++ b/src/monsoonmill/codec_json.py
@@ -18,6 +18,10 @@
         """Return the stored form of a configuration."""
         return self._converter.dumps(config).encode()
 
+    def encode_readable(self, config: Config) -> str:
+        """Return a configuration as indented text."""
+        return self._converter.dumps(config, indent=2)
+
     def decode(self, data: bytes) -> Config:
         """Return the configuration of a stored form."""
         try:
--- /dev/null
+++ b/src/monsoonmill/ctl.py
@@ -0,0 +1,177 @@
+"""The ``monsoonctl`` program: what operators ask of a node."""
+
+from json import dumps
+from pathlib import Path
+from secrets import token_urlsafe
+
+from attrs import field, frozen
+
+from monsoonmill.admin_client import AdminClient
+from monsoonmill.codec_json import JsonConfigCodec
+from monsoonmill.errors import NoteError
+from monsoonmill.model import Address
+from monsoonmill.notes import apply_note, digest_key, holds_note, read_note
+from monsoonmill.program import run_program
+from monsoonmill.settings import _count, parse_address
+from monsoonmill.standin.options import load_settings
+
+SHIPPED_DEFAULTS = "ctl.toml"
+SECRET_BYTES = 32
+INDENT = 2
+
+
+@frozen
+class ClientSettings:
+    """The node that is asked."""
+
+    node: Address = field(converter=parse_address)
+    timeout_ms: int = _count()
+
+
+@frozen
+class CtlSettings:
+    """All settings of the program."""
+
+    ctl: ClientSettings
+
+    @classmethod
+    def from_file(cls, path: str | None, node: str | None) -> "CtlSettings":
+        """Overlay the shipped defaults with a file and the command line.
+
+        Raises
+        ------
+        SettingsError
+            The file is unreadable or a value is invalid.
+        """
+        return load_settings(cls, SHIPPED_DEFAULTS, path, {("ctl", "node"): node})
+
+
+class NoteCommands:
+    """Release notes."""
+
+    def __init__(self, client: AdminClient):
+        self._client = client
+
+    def check(self, file: str, offline: bool = False) -> str:
+        """Check a release note without accepting it.
+
+        Parameters
+        ----------
+        file : str
+            Release note in TOML.
+        offline : bool
+            Check the file alone, not against the configuration in force.
+        """
+        note = read_note(str(file))
+        if offline:
+            return f"{note.identifier}: well-formed, base revision {note.base}"
+        config = self._client.config()
+        accepted = holds_note(config, note.identifier)
+        if accepted is not None:
+            return f"{note.identifier}: accepted already, revision {accepted}"
+        changed = apply_note(config, note)
+        return f"{note.identifier}: applies, would make revision {changed.revision}"
+
+    def accept(self, file: str) -> str:
+        """Have a release note accepted; to repeat it is safe.
+
+        Parameters
+        ----------
+        file : str
+            Release note in TOML.
+        """
+        note = read_note(str(file))
+        revision = self._client.accept_note(_read_text(str(file)))
+        return f"{note.identifier}: accepted, revision {revision}"
+
+    def show(self, revision: bool = False) -> str:
+        """Show the configuration in force.
+
+        Parameters
+        ----------
+        revision : bool
+            Show its revision only.
+        """
+        config = self._client.config()
+        if revision:
+            return str(config.revision)
+        return JsonConfigCodec().encode_readable(config)
+
+
+class KeyCommands:
+    """Keys of organisations."""
+
+    def make(self, name: str, organisation: str) -> str:
+        """Make a key; its secret is shown once and kept nowhere.
+
+        Parameters
+        ----------
+        name : str
+            Name of the new key.
+        organisation : str
+            Organisation that the key is for.
+        """
+        secret = token_urlsafe(SECRET_BYTES)
+        return "\n".join(
+            (
+                f"# Secret for the caller, shown once: {secret}",
+                f"[added.keys.{dumps(str(name))}]",
+                f"organisation = {dumps(str(organisation))}",
+                f"digest = {dumps(digest_key(secret))}",
+            )
+        )
+
+
+class Monsoonctl:
+    """Ask a node of the fleet.
+
+    Parameters
+    ----------
+    node : str, optional
+        Administration port of any node, ``host:port``.
+    config : str, optional
+        Settings file in TOML that overlays the defaults.
+    """
+
+    def __init__(self, node: str | None = None, config: str | None = None):
+        cfg = CtlSettings.from_file(config, node).ctl
+        self._client = AdminClient.from_address(cfg.node, cfg.timeout_ms / 1000)
+        self.note = NoteCommands(self._client)
+        self.key = KeyCommands()
+
+    def status(self) -> str:
+        """Show the state of the node's parts."""
+        return _render(self._client.status())
+
+    def members(self) -> str:
+        """Show the nodes of the fleet as the node knows them."""
+        return _render(self._client.members())
+
+    def counters(self) -> str:
+        """Show the node's counters."""
+        return _render(self._client.counters())
+
+    def drain(self) -> str:
+        """Have the node leave the fleet and finish what it has."""
+        self._client.drain()
+        return "draining"
+
+
+def _render(doc):
+    return dumps(doc, indent=INDENT)
+
+
+def _read_text(path):
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise NoteError(path, str(exc)) from exc
+
+
+def main() -> None:
+    """Run the command line."""
+    run_program(Monsoonctl, "monsoonctl")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/monsoonmill/node/admin.py
+++ b/src/monsoonmill/node/admin.py
@@ -77,7 +77,11 @@
 
 def _refuse_note(error):
     if isinstance(error, StaleNoteError):
-        extra = {"current": error.current, "conflicts": list(error.conflicts)}
+        extra = {
+            "base": error.base,
+            "current": error.current,
+            "conflicts": list(error.conflicts),
+        }
         return Problem(409, "stale-note", str(error), extra).response()
     if isinstance(error, PlatformError):
         return Problem(503, "platform-unavailable", str(error)).response()
--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -139,3 +139,7 @@
 def main() -> None:
     """Run the command line."""
     run_program(serve, "monsoon-node")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/monsoonmill/program.py
+++ b/src/monsoonmill/program.py
@@ -1,8 +1,8 @@
 """What all programs share: arguments, logs and the manner of failing."""
 
+import sys
 from collections.abc import Callable
 from signal import SIGINT, SIGTERM, signal
-from sys import argv, exit, stderr
 from threading import Event
 
 from absl import flags, logging
@@ -22,12 +22,11 @@
 def run_program(command: Callable | dict, name: str, arguments=None) -> None:
     """Run a command line; a ``UserError`` becomes one line and status 2."""
     try:
-        Fire(
-            command, command=arguments if arguments is not None else argv[1:], name=name
-        )
+        given = sys.argv[1:] if arguments is None else arguments
+        Fire(command, command=given, name=name)
     except UserError as exc:
-        print(f"{name}: {exc}", file=stderr)
-        exit(USER_ERROR_STATUS)
+        print(f"{name}: {exc}", file=sys.stderr)
+        sys.exit(USER_ERROR_STATUS)
 
 
 def set_up_logs(level: str) -> None:
