--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -13,7 +13,6 @@
 from monsoonmill.errors import SettingsError
 from monsoonmill.eventlog import get_logger
 from monsoonmill.messages import PEER_MESSAGES
-from monsoonmill.model import Address
 from monsoonmill.node.admin import AdminApp
 from monsoonmill.node.desk import NodeDesk
 from monsoonmill.node.ingress import BackendApp, CallApp
@@ -41,10 +40,9 @@
     def __init__(self, cfg: Settings):
         self.cfg = cfg
         config_codec = JsonConfigCodec()
-        address = Address(cfg.node.host, cfg.node.peer_port)
         self.core = NodeCore(
             cfg,
-            address,
+            cfg.node.peer_address,
             read_incarnation(),
             config_codec,
             lambda: token_hex(TOKEN_BYTES),
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -71,7 +71,15 @@
 
 @frozen
 class NodeSettings:
-    """Identity and addresses of a node."""
+    """Identity and addresses of a node.
+
+    Attributes
+    ----------
+    advertise_host : str
+        IP number by which other nodes reach this one; empty for ``host``.
+    advertise_port : int
+        Port by which other nodes reach this one; 0 for ``peer_port``.
+    """
 
     name: str = _text()
     host: str = _text()
@@ -84,6 +92,15 @@
     seeds: tuple[Address, ...] = _addresses()
     log_level: str = field(validator=in_(LOG_LEVELS))
     random_seed: int = _count(0)
+    advertise_host: str = _text()
+    advertise_port: int = _port()
+
+    @property
+    def peer_address(self) -> Address:
+        """Address that other nodes reach this one at."""
+        return Address(
+            self.advertise_host or self.host, self.advertise_port or self.peer_port
+        )
 
 
 @frozen
