Let a keyed call run at most once: claims held by a primary and a backup

Cause: a caller that re-sent a pledge with its Idempotency-Key, to any node, ran it again; nothing remembered the key.

Keys hash into partitions. One value of the platform names a primary and a backup for each, changed by compare-and-swap only. A claim is granted once both hold it, so a replaced primary can grant nothing, and a claim costs the platform no call. Where both copies are lost the partition denies what it may have forgotten as unknown until such claims have lapsed. A pair without word from the platform for confirm_s stops, since others may have replaced it.

Ruled out: one home by rendezvous hashing (kept as claims = "single-home" to compare with): a dead home forgets. Leases on keys: a lost home leaves every key of it unknown. A platform entry for each claim: its few hundred writes a second.

In calls and executions: a try no longer starts after the call's deadline, a slot that comes after the deadline does not run, a repeated Forward of an ended attempt is ignored, and a call that ends while its claim is not known is answered unknown.

--- a/src/monsoonmill/codec.py
+++ b/src/monsoonmill/codec.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
 
+from monsoonmill.claim_records import ClaimMap
 from monsoonmill.model import Config
 
 MAX_FRAME_BYTES = 1 << 20
@@ -36,7 +37,7 @@
 
 
 class ConfigCodec(ABC):
-    """Encodes a configuration for the platform's service."""
+    """Encodes what the nodes keep in the platform's service."""
 
     @abstractmethod
     def encode(self, config: Config) -> bytes:
@@ -51,3 +52,17 @@
         MalformedMessageError
             The bytes are no configuration.
         """
+
+    @abstractmethod
+    def encode_claim_map(self, claim_map: ClaimMap) -> bytes:
+        """Return the stored form of a claim map."""
+
+    @abstractmethod
+    def decode_claim_map(self, data: bytes) -> ClaimMap:
+        """Return the claim map of a stored form.
+
+        Raises
+        ------
+        MalformedMessageError
+            The bytes are no claim map.
+        """
--- a/src/monsoonmill/codec_json.py
+++ b/src/monsoonmill/codec_json.py
@@ -1,8 +1,9 @@
-"""Encoding of configurations as JSON."""
+"""Encoding of what the platform's service keeps as JSON."""
 
 from cattrs import BaseValidationError
 from cattrs.preconf.json import make_converter
 
+from monsoonmill.claim_records import ClaimMap
 from monsoonmill.codec import ConfigCodec
 from monsoonmill.errors import MalformedMessageError
 from monsoonmill.model import Config
@@ -20,7 +21,19 @@
 
     def decode(self, data: bytes) -> Config:
         """Return the configuration of a stored form."""
+        return self._load(data, Config)
+
+    def encode_claim_map(self, claim_map: ClaimMap) -> bytes:
+        """Return the stored form of a claim map."""
+        return self._converter.dumps(claim_map).encode()
+
+    def decode_claim_map(self, data: bytes) -> ClaimMap:
+        """Return the claim map of a stored form."""
+        return self._load(data, ClaimMap)
+
+    def _load(self, data, cls):
         try:
-            return self._converter.loads(data, Config)
+            return self._converter.loads(data, cls)
         except (BaseValidationError, TypeError, ValueError, KeyError) as exc:
-            raise MalformedMessageError("stored value is no configuration") from exc
+            problem = f"stored value is no {cls.__name__}"
+            raise MalformedMessageError(problem) from exc
--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -176,15 +176,15 @@
 
     def answer_expired(self, arg):
         """Tell the caller that the time is up."""
-        ran = Outcome.UNKNOWN if self.attempt else Outcome.NOT_RUN
+        outcome = self._outcome_so_far()
         self._cancel_attempt(timed_out=True)
-        self._answer(Answer(self.name, ran, reason=Reason.DEADLINE))
+        self._answer(Answer(self.name, outcome, reason=Reason.DEADLINE))
 
     def abandon(self, arg):
         """Stop what is under way, since nobody waits for the answer."""
-        ran = Outcome.UNKNOWN if self.attempt else Outcome.NOT_RUN
+        outcome = self._outcome_so_far()
         self._cancel_attempt(timed_out=False)
-        self._answer(Answer(self.name, ran, reason=Reason.CANCELLED))
+        self._answer(Answer(self.name, outcome, reason=Reason.CANCELLED))
 
     def answer_over_rate(self, denied: TokenDenied):
         """Tell the caller that its organisation has spent its rate."""
@@ -196,7 +196,14 @@
             kept = Answer(self.name, denied.outcome, denied.response)
             self._answer(kept)
             return
-        self._answer(Answer(self.name, denied.outcome, reason=denied.reason))
+        self._answer(
+            Answer(
+                self.name,
+                denied.outcome,
+                reason=denied.reason,
+                retry_after_s=denied.retry_after_s,
+            )
+        )
 
     def answer_no_backend_server(self, reason: Reason):
         """Tell the caller that no backend server can take the call."""
@@ -221,6 +228,11 @@
             )
         )
 
+    def _outcome_so_far(self):
+        # While the claim is not known, an earlier call of this key may have run.
+        is_unknown = self.attempt or self.chart.is_in("waiting_for_claim")
+        return Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
+
     def _refuse(self, reason, retry_after_s=0.0):
         refusal = Answer(
             self.name, Outcome.NOT_RUN, reason=reason, retry_after_s=retry_after_s
@@ -401,6 +413,10 @@
     # Attempts.
     def start_attempt(self, call: Call) -> None:
         """Send a call to a node, or note that there is none."""
+        if call.now >= call.context.deadline:
+            # After a pause an event can come before the call's own timer.
+            call.out.append(ChartEvent("expire", None))
+            return
         service = call.route.service
         node = self._router.choose(
             service, call.context.importance, frozenset(call.excluded), call.now
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -66,7 +66,7 @@
         self.poison = make_poison(cfg, self.members, self.counters)
         self.router = Router(self.members, self.health, rng)
         self.quota = make_quota(cfg, self.members, self.view, rng, self.counters)
-        self.claims = make_claims(cfg, self.members, rng, self.counters)
+        self.claims = make_claims(cfg, self.members, codec, rng, self.counters)
         self.admission = make_admission(cfg)
         self.calls = CallFlow(
             cfg,
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -1,5 +1,7 @@
 """Executions of calls at the own backend server."""
 
+from collections import OrderedDict
+
 from attrs import define, field
 from xxhash import xxh3_64_intdigest
 
@@ -33,6 +35,8 @@
 
 NOT_RUN_HEADER = "monsoon-outcome"
 SHED_STATUS = 503
+MAX_ENDED = 10_000
+"""Ended attempts whose repeats are recognised."""
 ABORT_GRACE_S = 5.0
 """An aborted run that does not end within this time is given up."""
 
@@ -191,6 +195,7 @@
         self._counters = counters
         self._service = ""
         self._executions: dict[str, Execution] = {}
+        self._ended: OrderedDict[str, None] = OrderedDict()
         self._timers = Timers()
 
     def handlers(self):
@@ -227,7 +232,7 @@
     def on_forward(self, signal: Received, now):
         """Check an attempt and queue it."""
         forward = signal.message
-        if forward.attempt in self._executions:
+        if forward.attempt in self._executions or forward.attempt in self._ended:
             self._counters.add("repeated-attempts")
             return
         deadline = now + forward.timeout_ms / 1000
@@ -262,8 +267,11 @@
             yield from self._send(signal.message.attempt, "cancel", now)
 
     def on_admitted(self, signal, now):
-        """Run an attempt that has a slot, unless its key has been withdrawn."""
-        yield from self._send(signal.attempt, "admitted", now)
+        """Run an attempt that has a slot, unless its time is up."""
+        execution = self._executions.get(signal.attempt)
+        is_late = execution is not None and now >= execution.deadline
+        event = "expire" if is_late else "admitted"
+        yield from self._send(signal.attempt, event, now)
 
     def on_not_admitted(self, signal, now):
         """Refuse an attempt that gets no slot."""
@@ -289,10 +297,16 @@
         execution.chart.send(event, arg)
         if execution.chart.finished:
             del self._executions[attempt]
+            self._note_ended(attempt)
             self._timers.cancel(attempt)
         yield from execution.out
         execution.out.clear()
 
+    def _note_ended(self, attempt):
+        self._ended[attempt] = None
+        if len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
+
     def status(self):
         """Return the number of attempts in progress."""
         return {"in_progress": self.in_progress, "service": self._service}
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -2,9 +2,12 @@
 
 from random import Random
 
+from monsoonmill.codec import ConfigCodec
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission import Admission, AdmitAll
 from monsoonmill.decisions.claims import Claims, NoClaims
+from monsoonmill.decisions.claims_paired import PairedClaims
+from monsoonmill.decisions.claims_single import SingleHomeClaims
 from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.health import AllHealthy, Health
 from monsoonmill.decisions.membership import Membership
@@ -25,9 +28,17 @@
 
 
 def make_claims(
-    cfg: Settings, members: Membership, rng: Random, counters: Counters
+    cfg: Settings,
+    members: Membership,
+    codec: ConfigCodec,
+    rng: Random,
+    counters: Counters,
 ) -> Claims:
     """Return the part that gives out claims."""
+    if cfg.policy.claims == "paired":
+        return PairedClaims(cfg, members, codec, rng, counters)
+    if cfg.policy.claims == "single-home":
+        return SingleHomeClaims(cfg, members, rng, counters)
     return NoClaims()
 
 
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -300,6 +300,7 @@
     reason: Reason
     outcome: Outcome
     response: HttpResponse | None = None
+    retry_after_s: float = 0.0
 
 
 @frozen
--- a/src/monsoonmill/decisions/timers.py
+++ b/src/monsoonmill/decisions/timers.py
@@ -17,6 +17,11 @@
         self._due[key] = due
         heappush(self._heap, (due, next(self._order), key))
 
+    def set_no_later(self, key: object, due: float) -> None:
+        """Let ``key`` be due at a time, unless it is due earlier already."""
+        if key not in self._due or due < self._due[key]:
+            self.set(key, due)
+
     def cancel(self, key: object) -> None:
         """Forget a key's time."""
         self._due.pop(key, None)
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -2,6 +2,19 @@
 
 from attrs import field, frozen
 
+from monsoonmill.claim_messages import (
+    ClaimMapReply,
+    ClaimMapRequest,
+    ClaimRedirect,
+    ClaimReplicate,
+    ClaimReplicated,
+    ClaimReply,
+    ClaimRequest,
+    ClaimSettle,
+    ClaimSettled,
+    ClaimTransfer,
+    ClaimTransferred,
+)
 from monsoonmill.model import Address, Config, HttpRequest, HttpResponse, Member
 from monsoonmill.reasons import Importance, Outcome, Reason
 
@@ -230,50 +243,6 @@
     level: float
 
 
-@frozen
-class ClaimRequest:
-    """Asks the primary of a partition for the right to run a call once."""
-
-    sequence: int
-    partition: int
-    epoch: int
-    organisation: str
-    key: str
-    fingerprint: int
-
-
-@frozen
-class ClaimReply:
-    """Answers a ``ClaimRequest``.
-
-    Attributes
-    ----------
-    granted : bool
-        Whether the asker may run the call.
-    outcome : Outcome
-        What is known of an earlier run, when not granted.
-    response : HttpResponse or None
-        The kept answer of an earlier run.
-    """
-
-    sequence: int
-    granted: bool
-    outcome: Outcome
-    reason: Reason | None = None
-    response: HttpResponse | None = None
-
-
-@frozen
-class ClaimSettle:
-    """Tells the primary how a claimed call ended."""
-
-    partition: int
-    organisation: str
-    key: str
-    outcome: Outcome
-    response: HttpResponse | None = None
-
-
 @frozen
 class SuspectReport:
     """Names requests that were at a backend server when it crashed."""
@@ -309,7 +278,15 @@
     Loan,
     ClaimRequest,
     ClaimReply,
+    ClaimRedirect,
     ClaimSettle,
+    ClaimSettled,
+    ClaimReplicate,
+    ClaimReplicated,
+    ClaimTransfer,
+    ClaimTransferred,
+    ClaimMapRequest,
+    ClaimMapReply,
     SuspectReport,
     PoisonNotice,
 )
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -11,6 +11,8 @@
 from monsoonmill.model import Address
 
 MAX_PORT = 65535
+MAX_PARTITIONS = 1024
+"""More would not fit into one value of the platform's service."""
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -91,7 +93,7 @@
     """Variant of each part of the decisions that has several."""
 
     quota: str = field(validator=in_(("unlimited",)))
-    claims: str = field(validator=in_(("none",)))
+    claims: str = field(validator=in_(("paired", "single-home", "none")))
     admission: str = field(validator=in_(("all",)))
     health: str = field(validator=in_(("none",)))
     poison: str = field(validator=in_(("none",)))
@@ -159,8 +161,9 @@
 class ClaimSettings:
     """Claims of at-most-once calls."""
 
-    partitions: int = _count()
+    partitions: int = field(validator=[instance_of(int), ge(1), le(MAX_PARTITIONS)])
     retention_s: int = _count()
+    confirm_s: int = _count()
     max_entries: int = _count()
     max_answer_bytes: int = _count(0)
     max_answers_bytes: int = _count(0)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -53,6 +53,10 @@
         )
         return signals.PlatformDone(signal.request, values, now)
 
+    def refuse(self, signal):
+        """Return the answer of a node that can't reach the platform."""
+        return self._fail(signal, "out of reach")
+
     def _fail(self, signal, problem):
         return signals.PlatformFailed(signal.request, PlatformUnavailableError(problem))
 
@@ -77,6 +81,8 @@
         self.core = core
         self.address = address
         self.is_up = True
+        self.is_paused = False
+        self.held: list[object] = []
         self.answers: dict[str, signals.Answer] = {}
         self.reports: dict[str, object] = {}
         self.drained = False
@@ -103,6 +109,7 @@
         self.sections = sections
         self.executed: list[tuple[str, signals.RunCall]] = []
         self.cut: set[frozenset] = set()
+        self.hides_platform_from: set[str] = set()
         self.latency_s = LATENCY_S
         self._run = run or answer_ok
         self._rng = Random(seed)
@@ -168,10 +175,23 @@
         return name
 
     def give(self, node, signal):
-        """Give a node's core a signal now."""
-        if node.is_up:
+        """Give a node's core a signal now, or once it goes on."""
+        if node.is_paused:
+            node.held.append(signal)
+        elif node.is_up:
             self._take(node, node.core.handle(signal, self.now))
 
+    def pause(self, node):
+        """Stop a process; what comes in waits for it."""
+        node.is_paused = True
+
+    def resume(self, node):
+        """Let a process go on, with what came in first."""
+        node.is_paused = False
+        held, node.held = node.held, []
+        for signal in held:
+            self.give(node, signal)
+
     def advance(self, seconds):
         """Let time pass; everything due happens in order."""
         end = self.now + seconds
@@ -182,7 +202,7 @@
             self.now = max(due, self.now)
             while self._queue and self._queue[0][0] <= self.now:
                 heappop(self._queue)[2]()
-            for node in list(self.nodes.values()):
+            for node in self._running_nodes():
                 node_due = node.core.next_due()
                 if node_due is not None and node_due <= self.now:
                     self._take(node, node.core.tick(self.now))
@@ -203,8 +223,11 @@
         value = JsonConfigCodec().encode(config)
         self.platform.store.swap("config", stored.version, value, "", self.now)
 
+    def _running_nodes(self):
+        return [node for node in self.nodes.values() if not node.is_paused]
+
     def _next_due(self):
-        times = [node.core.next_due() for node in self.nodes.values()]
+        times = [node.core.next_due() for node in self._running_nodes()]
         if self._queue:
             times.append(self._queue[0][0])
         return min((one for one in times if one is not None), default=None)
@@ -272,7 +295,10 @@
 
     def _call_platform(self, node, signal, wait_s):
         is_watch = isinstance(signal, signals.PlatformWatch)
-        answer = self.platform.perform(signal, self.now)
+        if node.name in self.hides_platform_from:
+            answer = self.platform.refuse(signal)
+        else:
+            answer = self.platform.perform(signal, self.now)
         if is_watch and isinstance(answer, signals.PlatformDone):
             if answer.values[0].version <= signal.after:
                 if wait_s > 0:
--- /dev/null
+++ b/tests/test_mutants_claims.py
@@ -0,0 +1,121 @@
+"""The oracle of the claims tests notices each deliberate fault."""
+
+import pytest
+
+from monsoonmill.decisions import claim_rules, policies
+from monsoonmill.decisions.claim_replication import Replica
+from monsoonmill.decisions.claims_paired import PairedClaims
+from monsoonmill.decisions.signals import RunFailure
+from monsoonmill.reasons import Outcome
+from tests.claims_fleet import ClaimsFleet
+
+
+class GrantsBeforeReceipt(Replica):
+    def replicate(self, entry, replies, now):
+        yield from super().replicate(entry, [], now)
+        yield from replies
+
+
+class ServesBeforeTransfer(Replica):
+    def is_alone(self, arg):
+        return True
+
+    def adopt(self, record, now):
+        yield from super().adopt(record, now)
+        # The new backup counts as complete as soon as it is named.
+        self.chart.send("filled")
+
+
+class TakesNoNoteOfLoss(PairedClaims):
+    def _is_recovered(self, record, partition, now):
+        return True
+
+
+def with_replica(cls):
+    class Mutant(PairedClaims):
+        replica_class = cls
+
+    return Mutant
+
+
+def send_late(fleet, count=3, gap_s=3.0):
+    for number in range(count):
+        nodes = list(fleet.nodes.values())
+        fleet.pledge(nodes[number % len(nodes)], "k")
+        fleet.advance(gap_s)
+
+
+def lose_primary_before_its_backup_heard(fleet):
+    """Kill the primary whose messages to the backup were lost."""
+    record = fleet.primary_of("k")
+    fleet.cut.add(frozenset((record.primary.node, record.backup.node)))
+    holders = {record.primary.node, record.backup.node}
+    asker = next(one for one in fleet.nodes.values() if one.name not in holders)
+    fleet.pledge(asker, "k")
+    fleet.advance(0.5)
+    fleet.kill(fleet.nodes[record.primary.node])
+    fleet.advance(4)
+    send_late(fleet)
+
+
+def lose_both_copies(fleet):
+    """Kill primary and backup at once."""
+    fleet.pledge(next(iter(fleet.nodes.values())), "k")
+    fleet.advance(1)
+    record = fleet.primary_of("k")
+    for holder in (record.primary, record.backup):
+        fleet.kill(fleet.nodes[holder.node])
+    fleet.advance(12)
+    send_late(fleet)
+
+
+def lose_one_copy_after_the_other(fleet):
+    """Kill the primary, and the one that took over as soon as it has."""
+    fleet.pledge(next(iter(fleet.nodes.values())), "k")
+    fleet.advance(1)
+    first = fleet.primary_of("k").primary
+    second = fleet.primary_of("k").backup
+    fleet.kill(fleet.nodes[first.node])
+    assert fleet.advance_until(
+        lambda: fleet.primary_of("k").primary == second, step_s=0.001
+    )
+    fleet.cut |= {
+        frozenset((second.node, other)) for other in fleet.nodes if other != second.node
+    }
+    fleet.advance(0.2)
+    fleet.kill(fleet.nodes[second.node])
+    fleet.advance(4)
+    send_late(fleet)
+
+
+def lose_the_answer(fleet):
+    """Send again after the backend server broke the connection."""
+    fleet.backend = RunFailure.CONNECTION_LOST
+    send_late(fleet)
+
+
+def problems_after(history):
+    fleet = ClaimsFleet(6)
+    assert fleet.settle_down()
+    history(fleet)
+    return fleet.problems
+
+
+@pytest.mark.parametrize(
+    ("mutant", "history"),
+    [
+        (with_replica(GrantsBeforeReceipt), lose_primary_before_its_backup_heard),
+        (with_replica(ServesBeforeTransfer), lose_one_copy_after_the_other),
+        (TakesNoNoteOfLoss, lose_both_copies),
+    ],
+)
+def test_mutant_runs_a_pledge_twice(mutant, history, monkeypatch):
+    assert problems_after(history) == []
+    monkeypatch.setattr(policies, "PairedClaims", mutant)
+    assert problems_after(history) != []
+
+
+def test_mutant_that_releases_unknown_claims_runs_a_pledge_twice(monkeypatch):
+    assert problems_after(lose_the_answer) == []
+    monkeypatch.setitem(claim_rules.EVENTS, Outcome.UNKNOWN, "not_run")
+    assert problems_after(lose_the_answer) != []
