--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -200,7 +200,14 @@
             kept = Answer(self.name, denied.outcome, denied.response)
             self._answer(kept)
             return
-        self._answer(Answer(self.name, denied.outcome, reason=denied.reason))
+        self._answer(
+            Answer(
+                self.name,
+                denied.outcome,
+                reason=denied.reason,
+                retry_after_s=denied.retry_after_s,
+            )
+        )
 
     def answer_no_backend_server(self, reason: Reason):
         """Tell the caller that no backend server can take the call."""
@@ -225,6 +232,11 @@
             )
         )
 
+    def _outcome_so_far(self):
+        # While the claim is not known, an earlier call of this key may have run.
+        is_unknown = self.attempt or self.chart.is_in("waiting_for_claim")
+        return Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
+
     def _refuse(self, reason, retry_after_s=0.0):
         refusal = Answer(
             self.name, Outcome.NOT_RUN, reason=reason, retry_after_s=retry_after_s
@@ -419,6 +431,10 @@
     # Attempts.
     def start_attempt(self, call: Call) -> None:
         """Send a call to a node, or note that there is none."""
+        if call.now >= call.context.deadline:
+            # After a pause an event can come before the call's own timer.
+            call.out.append(ChartEvent("expire", None))
+            return
         service = call.route.service
         if call.caller.key and self._authorization.is_withdrawn(call.caller.key):
             call.out.append(ChartEvent("no_backend_server", Reason.KEY_WITHDRAWN))
