Send configuration changes as differences and bound the register

Revisions of withdrawn entries and up to 10,000 withdrawn keys (about 125 bytes each) would by themselves outgrow the value. A note whose identifier was already taken by another note was answered as accepted. A malformed stored value ended the handler. A platform set back to an older value let a note be accepted at a revision that no node adopts.

Change: ConfigDelta for askers up to 200 revisions behind, one request at a time; notes carry a digest; removed entries' revisions last 1,000 revisions, withdrawn keys 2,000; a typed error when the value would pass 1,000,000 bytes or 64 notes are in progress; watchers write what is in force over an older stored value.

Ruled out: telling deltas by revision alone, since a value written without notes would then be skipped; the notes must name each revision since.

--- a/src/monsoonmill/decisions/configuration.py
+++ b/src/monsoonmill/decisions/configuration.py
@@ -7,14 +7,17 @@
 
 from random import Random
 
-from attrs import define, field
-
-from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.codec import ConfigCodec
+from monsoonmill.config_delta import apply_delta, make_delta
 from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.pending_note import (
+    CONFIG_KEY,
+    NOTE_CHART,
+    NoteRegister,
+    PendingNote,
+)
 from monsoonmill.decisions.signals import (
     ConfigChanged,
-    NoteAccepted,
     NoteRefused,
     NoteSubmitted,
     PlatformDone,
@@ -28,22 +31,23 @@
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import (
-    MonsoonError,
+    MalformedMessageError,
     PlatformConflictError,
-    PlatformUnavailableError,
+    TooManyNotesError,
 )
-from monsoonmill.messages import ConfigReply, ConfigRequest
+from monsoonmill.messages import ConfigDelta, ConfigReply, ConfigRequest, MemberGossip
 from monsoonmill.model import Config
-from monsoonmill.notes import ReleaseNote, apply_note, holds_note
 from monsoonmill.settings import Settings
 
-CONFIG_KEY = "config"
+MAX_PENDING_NOTES = 64
+ASK_AGAIN_S = 1.0
+"""A node that gave no newer configuration in this time is asked again."""
 ACCEPT_LIMIT_S = 20.0
 """An operator gets an answer to a release note within this time."""
-FIRST_RETRY_S = 0.05
-LAST_RETRY_S = 2.0
 WATCH = "config-watch"
 FIRST_READ = "config-read"
+REPAIR = "config-repair"
+"""Write of what is in force over an older stored configuration."""
 
 
 class ConfigView:
@@ -53,104 +57,7 @@
         self.config = config or Config()
 
 
-@define
-class PendingNote:
-    """A release note on its way into the platform; owner of its chart."""
-
-    request: str
-    note: ReleaseNote
-    give_up: float
-    register: "ConfigRegister"
-    chart: ChartInstance | None = None
-    stored: StoredValue | None = None
-    changed: Config | None = None
-    error: MonsoonError | None = None
-    accepted_revision: int | None = None
-    retry_s: float = FIRST_RETRY_S
-    now: float = 0.0
-    out: list = field(factory=list)
-
-    def read_stored(self, arg):
-        """Ask the platform for the stored configuration."""
-        self.out.append(PlatformRead(self.request, CONFIG_KEY))
-
-    def write_changed(self, arg):
-        """Write the changed configuration if nobody came first."""
-        value = self.register.codec.encode(self.changed)
-        version = self.stored.version
-        self.out.append(PlatformSwap(self.request, CONFIG_KEY, version, value))
-
-    def evaluate(self, stored: StoredValue) -> None:
-        """Work out what the note does to the stored configuration."""
-        self.stored = stored
-        self.error = None
-        try:
-            current = self.register.decode(stored)
-            self.accepted_revision = holds_note(current, self.note.identifier)
-            if self.accepted_revision is None:
-                self.changed = apply_note(current, self.note)
-            else:
-                self.changed = current
-        except MonsoonError as exc:
-            self.error = exc
-
-    def holds_the_note(self, arg):
-        """Return whether the stored configuration already has the note."""
-        return self.error is None and self.accepted_revision is not None
-
-    def applies(self, arg):
-        """Return whether the note can be written."""
-        return self.error is None and self.accepted_revision is None
-
-    def does_not_apply(self, arg):
-        """Return whether the note is stale or contradicts the configuration."""
-        return self.error is not None
-
-    def accept(self, arg):
-        """Tell the operator of the revision that has the note."""
-        self.out.append(NoteAccepted(self.request, self.accepted_revision))
-        self.register.adopt_later(self.changed)
-
-    def accept_written(self, arg):
-        """Tell the operator that the note was written."""
-        self.accepted_revision = self.changed.revision
-        self.accept(arg)
-
-    def refuse(self, arg):
-        """Tell the operator why the note does not apply."""
-        self.out.append(NoteRefused(self.request, self.error))
-
-    def refuse_unavailable(self, arg):
-        """Tell the operator that the platform gave no answer in time."""
-        problem = (
-            "the platform gave no answer in time; the note may or may not have "
-            "been accepted, accepting it again is safe"
-        )
-        self.out.append(NoteRefused(self.request, PlatformUnavailableError(problem)))
-
-    def time_is_left(self, arg):
-        """Return whether to go on trying."""
-        return self.now < self.give_up
-
-    def time_is_up(self, arg):
-        """Return whether to stop trying."""
-        return self.now >= self.give_up
-
-    def schedule(self, arg):
-        """Read again after a growing, jittered wait.
-
-        A failed write may have taken effect; the next read tells by the
-        note's identifier.
-        """
-        jitter = self.register.rng.uniform(0.5, 1.0)
-        self.register.timers.set(self.request, self.now + self.retry_s * jitter)
-        self.retry_s = min(2 * self.retry_s, LAST_RETRY_S)
-
-
-NOTE_CHART = bind_methods("release_note", PendingNote)
-
-
-class ConfigRegister(Decision):
+class ConfigRegister(Decision, NoteRegister):
     """Accepts release notes and keeps the newest configuration in force."""
 
     def __init__(
@@ -166,6 +73,8 @@
         self._watched_version = 0
         self._watching = False
         self._wants_watch = False
+        self._asked_at = float("-inf")
+        self._malformed_version = 0
 
     def handlers(self):
         """Return the handlers of this decision."""
@@ -175,6 +84,8 @@
             PlatformFailed: self.on_platform_failed,
             ConfigRequest: self.on_config_request,
             ConfigReply: self.on_config_reply,
+            ConfigDelta: self.on_config_delta,
+            MemberGossip: self.on_gossip,
         }
 
     def next_due(self):
@@ -194,6 +105,9 @@
 
     def on_note(self, signal, now):
         """Begin to accept a release note."""
+        if len(self._pending) >= MAX_PENDING_NOTES:
+            yield NoteRefused(signal.request, TooManyNotesError(MAX_PENDING_NOTES))
+            return
         note = PendingNote(signal.request, signal.note, now + ACCEPT_LIMIT_S, self)
         note.now = now
         self._pending[signal.request] = note
@@ -223,7 +137,7 @@
             if stored.version > self._watched_version and stored.value is not None:
                 self._watched_version = stored.version
                 is_news = True
-                yield from self.adopt(self.decode(stored))
+                yield from self._take_stored(signal.request, stored)
         if signal.request != WATCH:
             return
         if is_news or not signal.values:
@@ -232,6 +146,18 @@
             # The key is gone; to watch at once would end at once.
             self._retry_later(WATCH, now)
 
+    def _take_stored(self, request, stored):
+        try:
+            config = self.decode(stored)
+        except MalformedMessageError:
+            # What is in force stays; an operator sees the version in the status.
+            self._malformed_version = stored.version
+            return
+        yield from self.adopt(config)
+        if request == WATCH and config.revision < self.view.config.revision:
+            value = self.codec.encode(self.view.config)
+            yield PlatformSwap(REPAIR, CONFIG_KEY, stored.version, value)
+
     def _watch_again(self, now):
         self._watching = False
         yield from self.watch(self._wants_watch, now)
@@ -290,15 +216,47 @@
         """Return the configuration of a stored value; the empty one if absent."""
         return Config() if stored.value is None else self.codec.decode(stored.value)
 
+    def newest(self, stored: StoredValue) -> Config:
+        """Return the newer of a stored configuration and the one in force.
+
+        A platform that was set back holds an older one; what is in force goes
+        before it, so that no accepted note is lost.
+        """
+        config = self.decode(stored)
+        is_older = config.revision < self.view.config.revision
+        return self.view.config if is_older else config
+
+    def on_gossip(self, signal: Received, now):
+        """Ask a node that has a newer configuration for it, one at a time."""
+        revision = self.view.config.revision
+        if signal.message.revision <= revision or now - self._asked_at < ASK_AGAIN_S:
+            return
+        self._asked_at = now
+        yield Send(signal.node, ConfigRequest(revision))
+
     def on_config_request(self, signal: Received, now):
-        """Answer a node that has an older configuration."""
-        if self.view.config.revision > signal.message.revision:
-            yield Send(signal.node, ConfigReply(self.view.config))
+        """Send a node that has an older configuration what it lacks."""
+        config, revision = self.view.config, signal.message.revision
+        if config.revision > revision:
+            delta = make_delta(config, revision)
+            yield Send(signal.node, ConfigReply(config) if delta is None else delta)
+
+    def on_config_delta(self, signal: Received, now):
+        """Adopt what changed since the configuration in force."""
+        delta = signal.message
+        self._asked_at = float("-inf")
+        if delta.base <= self.view.config.revision < delta.revision:
+            yield from self.adopt(apply_delta(self.view.config, delta))
 
     def on_config_reply(self, signal: Received, now):
         """Adopt the configuration of another node if it is newer."""
+        self._asked_at = float("-inf")
         yield from self.adopt(signal.message.config)
 
     def status(self):
         """Return the revision in force and the notes under way."""
-        return {"revision": self.view.config.revision, "pending": len(self._pending)}
+        return {
+            "revision": self.view.config.revision,
+            "pending": len(self._pending),
+            "malformed_version": self._malformed_version,
+        }
--- a/src/monsoonmill/decisions/membership.py
+++ b/src/monsoonmill/decisions/membership.py
@@ -31,7 +31,6 @@
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.messages import (
-    ConfigRequest,
     MemberGossip,
     MemberListRequest,
 )
@@ -275,8 +274,6 @@
         yield from self._flush_changes()
         if message.answer:
             yield Send(signal.node, self._gossip(answer=False))
-        if message.revision > self.view.config.revision:
-            yield Send(signal.node, ConfigRequest(self.view.config.revision))
         yield from self._ask_for_list(signal, now)
 
     def _ask_for_list(self, signal, now):
--- a/src/monsoonmill/errors.py
+++ b/src/monsoonmill/errors.py
@@ -48,6 +48,26 @@
         self.conflicts = tuple(conflicts)
 
 
+class ConfigTooLargeError(UserError):
+    """A release note would make the configuration larger than the platform takes."""
+
+    def __init__(self, size_bytes, limit_bytes):
+        super().__init__(
+            f"release note: the configuration would grow to {size_bytes} bytes, "
+            f"the limit is {limit_bytes}"
+        )
+        self.size_bytes = size_bytes
+        self.limit_bytes = limit_bytes
+
+
+class TooManyNotesError(UserError):
+    """Too many release notes are on their way into the platform."""
+
+    def __init__(self, limit):
+        super().__init__(f"release note: {limit} others are in progress; try later")
+        self.limit = limit
+
+
 class ChartError(MonsoonError):
     """A chart file is malformed or names an unbound guard or action."""
 
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -2,7 +2,18 @@
 
 from attrs import field, frozen
 
-from monsoonmill.model import Address, Config, HttpRequest, HttpResponse, Member
+from monsoonmill.model import (
+    Address,
+    Config,
+    HttpRequest,
+    HttpResponse,
+    Key,
+    Member,
+    Organisation,
+    Route,
+    Service,
+    WithdrawnKey,
+)
 from monsoonmill.reasons import Importance, Outcome, Reason
 
 
@@ -169,6 +180,39 @@
     config: Config
 
 
+@frozen
+class ConfigDelta:
+    """Carries what changed in a configuration since an older revision.
+
+    Attributes
+    ----------
+    base : int
+        Oldest revision that the changes lead on from.
+    removed : tuple of str
+        Entries that are gone, such as ``keys/branch-1``.
+    notes : tuple of str
+        Notes accepted since the base.
+    entry_revisions : dict
+        Revisions of the entries that were changed or removed.
+    withdrawn_keys : dict
+        Keys withdrawn since the base, by their digest.
+    withdrawn_count : int
+        Number of withdrawn keys in the whole configuration.
+    """
+
+    base: int
+    revision: int
+    organisations: tuple[Organisation, ...] = ()
+    keys: tuple[Key, ...] = ()
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    removed: tuple[str, ...] = ()
+    notes: tuple[str, ...] = ()
+    entry_revisions: dict[str, int] = field(factory=dict)
+    withdrawn_keys: dict[str, WithdrawnKey] = field(factory=dict)
+    withdrawn_count: int = 0
+
+
 @frozen
 class TokenRequest:
     """Asks the token holder of an organisation for call tokens.
@@ -303,6 +347,7 @@
     MemberListRequest,
     ConfigRequest,
     ConfigReply,
+    ConfigDelta,
     TokenRequest,
     TokenGrant,
     LoanRequest,
--- a/src/monsoonmill/model.py
+++ b/src/monsoonmill/model.py
@@ -115,8 +115,8 @@
     revision : int
         Grows by one with each accepted release note; 0 before the first.
     notes : tuple of str
-        Identifiers of recently accepted notes with their revisions, newest
-        last, each written ``"revision:id"``.
+        Recently accepted notes, newest last, each written
+        ``"revision:digest:id"``.
     withdrawn_keys : dict
         Withdrawn keys by their digest.
     """
--- a/src/monsoonmill/notes.py
+++ b/src/monsoonmill/notes.py
@@ -5,9 +5,9 @@
 
 from attrs import evolve, fields, frozen
 
+from monsoonmill.config_checks import DIGEST_PREFIX, check_config
 from monsoonmill.errors import NoteError, SettingsError, StaleNoteError
 from monsoonmill.model import (
-    OPEN_ORGANISATION,
     Config,
     Key,
     Organisation,
@@ -18,9 +18,13 @@
 from monsoonmill.reasons import Importance
 from monsoonmill.settings import read_toml
 
-DIGEST_PREFIX = "sha256:"
 MAX_NOTES_KEPT = 1000
-MAX_WITHDRAWN_KEYS_KEPT = 10_000
+"""Accepted notes that are remembered; an older one is refused as stale."""
+MAX_WITHDRAWN_KEYS_KEPT = 2000
+"""Withdrawn keys told from unknown ones; an older one is refused as unknown."""
+REMOVED_ENTRY_REVISIONS = 1000
+"""The revision at which an entry was withdrawn is kept for this many more."""
+NOTE_DIGEST_DIGITS = 16
 
 
 @unique
@@ -197,12 +201,35 @@
     return value
 
 
-def holds_note(config: Config, identifier: str) -> int | None:
-    """Return the revision at which a note was accepted, if it was."""
+def digest_note(note: ReleaseNote) -> str:
+    """Return a digest of what a note does, whatever its base."""
+    edits = sorted(
+        (one.action.value, one.entry, sorted(one.values.items())) for one in note.edits
+    )
+    return sha256(repr(edits).encode()).hexdigest()[:NOTE_DIGEST_DIGITS]
+
+
+def note_revision(item: str) -> int:
+    """Return the revision of one item of ``Config.notes``."""
+    return int(item.partition(":")[0])
+
+
+def holds_note(config: Config, note: ReleaseNote) -> int | None:
+    """Return the revision at which a note was accepted, if it was.
+
+    Raises
+    ------
+    NoteError
+        Another note was accepted under the same identifier.
+    """
     for item in config.notes:
-        revision, _, name = item.partition(":")
-        if name == identifier:
-            return int(revision)
+        revision, digest, name = item.split(":", 2)
+        if name != note.identifier:
+            continue
+        if digest != digest_note(note):
+            problem = f"another note was accepted as {name!r} at revision {revision}"
+            raise NoteError("note.id", problem)
+        return int(revision)
     return None
 
 
@@ -229,12 +256,15 @@
     for edit in note.edits:
         _apply_edit(edit, tables[edit.kind], withdrawn, revision)
     touched = {edit.entry: revision for edit in note.edits}
+    accepted = f"{revision}:{digest_note(note)}:{note.identifier}"
     changed = evolve(
         config,
         revision=revision,
-        notes=(*config.notes, f"{revision}:{note.identifier}")[-MAX_NOTES_KEPT:],
-        entry_revisions={**config.entry_revisions, **touched},
-        withdrawn_keys=_newest(withdrawn),
+        notes=(*config.notes, accepted)[-MAX_NOTES_KEPT:],
+        entry_revisions=prune_revisions(
+            {**config.entry_revisions, **touched}, tables, revision
+        ),
+        withdrawn_keys=newest_keys(withdrawn, MAX_WITHDRAWN_KEYS_KEPT),
         **{kind.value: table for kind, table in tables.items()},
     )
     check_config(changed)
@@ -272,61 +302,22 @@
         raise NoteError(edit.entry, "a required field is missing") from exc
 
 
-def _newest(withdrawn):
-    newest = sorted(withdrawn.items(), key=lambda item: item[1].revision)
-    return dict(newest[-MAX_WITHDRAWN_KEYS_KEPT:])
-
-
-def check_config(config: Config) -> None:
-    """Check that a configuration's entries fit together.
-
-    Raises
-    ------
-    NoteError
-        Names the first entry that does not fit.
-    """
-    for organisation in config.organisations.values():
-        _check_organisation(organisation)
-    digests = set()
-    for key in config.keys.values():
-        _check_key(config, key, digests)
-        digests.add(key.digest)
-    for service in config.services.values():
-        if service.timeout_ms <= 0:
-            raise NoteError(f"services/{service.name}", "timeout_ms must be positive")
-    for route in config.routes.values():
-        _check_route(config, route)
-
-
-def _check_organisation(organisation):
-    place = f"organisations/{organisation.name}"
-    if organisation.name == OPEN_ORGANISATION:
-        raise NoteError(place, "the name is reserved")
-    if not 0 < organisation.rate < float("inf"):
-        raise NoteError(place, "rate must be positive")
-    if not 1 <= organisation.burst < float("inf"):
-        raise NoteError(place, "burst must be at least 1")
-
-
-def _check_key(config, key, digests):
-    place = f"keys/{key.name}"
-    if key.organisation not in config.organisations:
-        raise NoteError(place, f"no organisation {key.organisation!r}")
-    hexadecimal = key.digest.removeprefix(DIGEST_PREFIX)
-    if key.digest == hexadecimal or len(hexadecimal) != 2 * sha256().digest_size:
-        raise NoteError(place, "digest must be sha256: and 64 hexadecimal digits")
-    if key.digest in digests:
-        raise NoteError(place, "another key has this digest")
-
-
-def _check_route(config, route):
-    place = f"routes/{route.name}"
-    if route.service not in config.services:
-        raise NoteError(place, f"no service {route.service!r}")
-    if not route.path.startswith("/"):
-        raise NoteError(place, "path must begin with a slash")
-    if route.idempotent and route.at_most_once:
-        raise NoteError(place, "is either idempotent or at_most_once")
-    for name in route.organisations:
-        if name not in config.organisations:
-            raise NoteError(place, f"no organisation {name!r}")
+def newest_keys(
+    withdrawn: dict[str, WithdrawnKey], count: int
+) -> dict[str, WithdrawnKey]:
+    """Return the ``count`` keys that were withdrawn last, by their digest."""
+    order = sorted(withdrawn.items(), key=lambda item: (item[1].revision, item[0]))
+    return dict(order[max(len(order) - count, 0) :])
+
+
+def prune_revisions(
+    entry_revisions: dict[str, int], tables: dict[Kind, dict], revision: int
+) -> dict[str, int]:
+    """Return the entries' revisions without long withdrawn entries."""
+    oldest = revision - REMOVED_ENTRY_REVISIONS
+    present = {f"{kind.value}/{name}" for kind in Kind for name in tables[kind]}
+    return {
+        entry: changed_at
+        for entry, changed_at in entry_revisions.items()
+        if changed_at > oldest or entry in present
+    }
--- /dev/null
+++ b/tests/test_release_notes.py
@@ -0,0 +1,217 @@
+"""Release notes: races, lost answers, outages and never going back."""
+
+from itertools import count
+
+from attrs import evolve
+
+from monsoonmill.codec_json import JsonConfigCodec
+from monsoonmill.config_delta import apply_delta, make_delta
+from monsoonmill.decisions import pending_note
+from monsoonmill.decisions.signals import (
+    NoteAccepted,
+    NoteRefused,
+    NoteSubmitted,
+    Received,
+)
+from monsoonmill.errors import (
+    ConfigTooLargeError,
+    NoteError,
+    PlatformUnavailableError,
+    StaleNoteError,
+)
+from monsoonmill.messages import ConfigDelta, ConfigReply
+from monsoonmill.model import Config
+from monsoonmill.notes import apply_note, digest_key, parse_note
+from tests.fleet import FakeFleet
+
+NUMBERS = count(1)
+
+
+def make_note(identifier, base, name=None, rate=10.0, action="added"):
+    values = {"rate": rate, "burst": 10.0}
+    name = name or f"organisation-{identifier}"
+    tables = {"organisations": {name: values}}
+    return parse_note({"note": {"id": identifier, "base": base}, action: tables})
+
+
+def submit(fleet, node, note):
+    request = f"note-{next(NUMBERS)}"
+    fleet.give(node, NoteSubmitted(request, note))
+    return request
+
+
+def answer(fleet, node, request, limit_s=60):
+    assert fleet.advance_until(lambda: request in node.reports, limit_s)
+    return node.reports[request]
+
+
+def make_fleet(size=4):
+    fleet = FakeFleet()
+    nodes = [fleet.add() for _ in range(size)]
+    fleet.advance(5)
+    return fleet, nodes
+
+
+def revisions(nodes):
+    return {node.core.view.config.revision for node in nodes}
+
+
+def test_one_of_two_racing_notes_wins_and_the_other_names_the_conflict():
+    fleet, nodes = make_fleet()
+    notes = [make_note(name, 0, "branch", rate) for name, rate in (("a", 1), ("b", 2))]
+    requests = [submit(fleet, nodes[i], note) for i, note in enumerate(notes)]
+    answers = [answer(fleet, nodes[i], one) for i, one in enumerate(requests)]
+    refused = [one for one in answers if isinstance(one, NoteRefused)]
+    assert len(refused) == 1
+    assert isinstance(refused[0].error, StaleNoteError)
+    assert refused[0].error.conflicts == ("organisations/branch",)
+    assert fleet.advance_until(lambda: revisions(nodes) == {1})
+    assert len({node.core.view.config.organisations["branch"] for node in nodes}) == 1
+
+
+def test_lost_answer_is_resolved_by_the_note_id():
+    fleet, nodes = make_fleet()
+    fleet.platform.loses_answers = True
+    request = submit(fleet, nodes[0], make_note("a", 0))
+    fleet.advance(0.2)
+    fleet.platform.loses_answers = False
+    assert answer(fleet, nodes[0], request) == NoteAccepted(request, 1)
+    assert nodes[0].core.view.config.revision == 1
+
+
+def test_same_note_again_answers_the_same_revision_at_any_node():
+    fleet, nodes = make_fleet()
+    first = submit(fleet, nodes[0], make_note("a", 0))
+    assert answer(fleet, nodes[0], first).revision == 1
+    answer(fleet, nodes[1], submit(fleet, nodes[1], make_note("b", 1)))
+    again = submit(fleet, nodes[2], make_note("a", 0))
+    assert answer(fleet, nodes[2], again).revision == 1
+    assert fleet.advance_until(lambda: revisions(nodes) == {2})
+
+
+def test_another_note_under_an_accepted_id_is_refused():
+    fleet, nodes = make_fleet()
+    answer(fleet, nodes[0], submit(fleet, nodes[0], make_note("a", 0)))
+    other = submit(fleet, nodes[0], make_note("a", 1, "branch"))
+    assert isinstance(answer(fleet, nodes[0], other).error, NoteError)
+
+
+def test_outage_refuses_within_the_limit_and_says_that_it_is_unknown():
+    fleet, nodes = make_fleet()
+    fleet.platform.is_down = True
+    started = fleet.now
+    error = answer(fleet, nodes[0], submit(fleet, nodes[0], make_note("a", 0))).error
+    assert fleet.now - started < 25
+    assert isinstance(error, PlatformUnavailableError)
+    assert "may or may not" in str(error)
+
+
+def test_new_node_in_an_outage_learns_the_highest_revision_from_its_peers():
+    fleet, nodes = make_fleet()
+    answer(fleet, nodes[0], submit(fleet, nodes[0], make_note("a", 0)))
+    fleet.platform.is_down = True
+    newcomer = fleet.add()
+    assert fleet.advance_until(lambda: revisions([newcomer]) == {1}, 5)
+
+
+def test_older_configuration_of_a_peer_or_a_restored_platform_is_not_adopted():
+    fleet, nodes = make_fleet()
+    for number in range(3):
+        note = make_note(f"n{number}", number)
+        answer(fleet, nodes[0], submit(fleet, nodes[0], note))
+    fleet.advance(2)
+    fleet.install(Config(revision=1))
+    fleet.advance(5)
+    assert revisions(nodes) == {3}
+    older = ConfigReply(Config(revision=2))
+    fleet.give(nodes[0], Received(nodes[1].name, older))
+    fleet.advance(1)
+    assert revisions(nodes) == {3}
+    stored = fleet.platform.store.read("config", fleet.now)
+    assert JsonConfigCodec().decode(stored.value).revision == 3
+
+
+def test_note_on_a_platform_that_was_set_back_builds_on_what_is_in_force():
+    fleet, nodes = make_fleet()
+    for number in range(2):
+        note = make_note(f"n{number}", number)
+        answer(fleet, nodes[0], submit(fleet, nodes[0], note))
+    fleet.advance(1)
+    fleet.install(Config(revision=1))
+    request = submit(fleet, nodes[0], make_note("n2", 2))
+    assert answer(fleet, nodes[0], request) == NoteAccepted(request, 3)
+    assert fleet.advance_until(lambda: revisions(nodes) == {3})
+    assert len(nodes[3].core.view.config.organisations) == 3
+
+
+def test_malformed_stored_value_leaves_the_configuration_in_force():
+    fleet, nodes = make_fleet()
+    answer(fleet, nodes[0], submit(fleet, nodes[0], make_note("a", 0)))
+    fleet.advance(1)
+    version = fleet.platform.store.read("config", fleet.now).version
+    fleet.platform.store.swap("config", version, b"{", "", fleet.now)
+    fleet.advance(5)
+    assert revisions(nodes) == {1}
+    request = submit(fleet, nodes[0], make_note("b", 1))
+    assert isinstance(answer(fleet, nodes[0], request), NoteRefused)
+
+
+def test_note_that_makes_the_configuration_too_large_is_refused(monkeypatch):
+    fleet, nodes = make_fleet(2)
+    answer(fleet, nodes[0], submit(fleet, nodes[0], make_note("a", 0)))
+    limit_bytes = len(fleet.platform.store.read("config", fleet.now).value) + 1
+    monkeypatch.setattr(pending_note, "MAX_CONFIG_BYTES", limit_bytes)
+    error = answer(fleet, nodes[0], submit(fleet, nodes[0], make_note("b", 1))).error
+    assert isinstance(error, ConfigTooLargeError)
+    assert error.size_bytes > limit_bytes
+    assert revisions(nodes) == {1}
+
+
+def test_node_that_lacks_a_few_revisions_is_sent_only_the_changes():
+    fleet, nodes = make_fleet(2)
+    answer(fleet, nodes[0], submit(fleet, nodes[0], make_note("a", 0)))
+    fleet.advance(2)
+    sent = record_messages(fleet, (ConfigReply, ConfigDelta))
+    answer(fleet, nodes[0], submit(fleet, nodes[0], make_note("b", 1)))
+    fleet.advance(2)
+    assert revisions(nodes) == {2}
+    assert {type(one) for one in sent} <= {ConfigDelta}
+
+
+def record_messages(fleet, types):
+    sent, original = [], fleet._send
+
+    def record(node, signal):
+        if isinstance(signal.message, types):
+            sent.append(signal.message)
+        original(node, signal)
+
+    fleet._send = record
+    return sent
+
+
+def test_changes_lead_to_the_same_configuration_as_the_notes():
+    configs = [Config()]
+    for number, (action, tables) in enumerate(_mixed_tables()):
+        header = {"id": f"n{number}", "base": number}
+        note = parse_note({"note": header, action: tables})
+        configs.append(apply_note(configs[-1], note))
+    last = configs[-1]
+    assert make_delta(last, 0) is None
+    for config in configs[1:-1]:
+        delta = make_delta(last, config.revision)
+        assert apply_delta(config, delta) == last
+        between = evolve(delta, base=config.revision)
+        assert apply_delta(config, between) == last
+
+
+def _mixed_tables():
+    rate = {"rate": 1.0, "burst": 2.0}
+    yield "added", {"organisations": {"o": rate, "p": rate}}
+    first, second = digest_key("one"), digest_key("two")
+    yield "added", {"keys": {"k": {"organisation": "o", "digest": first}}}
+    yield "changed", {"keys": {"k": {"digest": second}}}
+    yield "added", {"keys": {"l": {"organisation": "p", "digest": first}}}
+    yield "withdrawn", {"keys": ["k"]}
+    yield "withdrawn", {"keys": ["l"], "organisations": ["o"]}
+    yield "added", {"organisations": {"o": rate}}
--- /dev/null
+++ b/tests/test_release_notes_fuzz.py
@@ -0,0 +1,174 @@
+"""Stateful fuzzing of the configuration register against a simple oracle."""
+
+from os import environ
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from monsoonmill.codec_json import JsonConfigCodec
+from monsoonmill.decisions.signals import NoteAccepted, NoteSubmitted
+from monsoonmill.errors import PlatformUnavailableError
+from monsoonmill.model import Config
+from tests.fleet import FakeFleet
+from tests.test_release_notes import make_note
+
+EXAMPLES = int(environ.get("MONSOON_FUZZ_EXAMPLES", "40"))
+MAX_NODES = 6
+ENTRIES = 3
+SECTIONS = {"members": {"forget_s": 30}}
+
+
+class ReleaseNoteMachine(RuleBasedStateMachine):
+    """Operators race while the platform, links and nodes fail."""
+
+    @initialize(size=st.integers(2, 4), seed=st.integers(1, 1000))
+    def begin(self, size, seed):
+        self.fleet = FakeFleet(seed=seed, **SECTIONS)
+        self.submitted = {}
+        self.answers = {}
+        self.highest = {}
+        self.pieces = {}
+        for _ in range(size):
+            self.fleet.add()
+        self.fleet.advance(2)
+
+    def pick(self, index):
+        nodes = list(self.fleet.nodes.values())
+        return nodes[index % len(nodes)]
+
+    @rule(index=st.integers(0, 5), behind=st.integers(0, 1), entry=st.integers(0, 99))
+    def submit(self, index, behind, entry):
+        node = self.pick(index)
+        base = max(node.core.view.config.revision - behind, 0)
+        name = f"organisation-{entry % ENTRIES}"
+        known = name in node.core.view.config.organisations
+        identifier = f"id-{len(self.submitted)}"
+        action = "changed" if known else "added"
+        note = make_note(identifier, base, name, 1.0 + entry, action)
+        self.hand_in(node, note)
+
+    @rule(index=st.integers(0, 5), which=st.integers(0, 20))
+    def submit_again(self, index, which):
+        if self.submitted:
+            notes = [note for _, note in self.submitted.values()]
+            self.hand_in(self.pick(index), notes[which % len(notes)])
+
+    def hand_in(self, node, note):
+        request = f"note-{len(self.submitted)}"
+        self.submitted[request] = (node, note)
+        self.fleet.give(node, NoteSubmitted(request, note))
+
+    @rule(is_down=st.booleans(), loses=st.booleans(), delay_ms=st.integers(1, 1500))
+    def platform(self, is_down, loses, delay_ms):
+        self.fleet.platform.is_down = is_down
+        self.fleet.platform.loses_answers = loses
+        self.fleet.platform.delay_s = delay_ms / 1000
+
+    @rule(one=st.integers(0, 5), other=st.integers(0, 5))
+    def cut(self, one, other):
+        names = frozenset((self.pick(one).name, self.pick(other).name))
+        if len(names) == 2:
+            self.fleet.cut.add(names)
+
+    @rule()
+    def heal_links(self):
+        self.fleet.cut.clear()
+
+    @rule(index=st.integers(0, 5))
+    def kill(self, index):
+        if len(self.fleet.nodes) > 2:
+            self.fleet.kill(self.pick(index))
+
+    @rule()
+    def add(self):
+        if len(self.fleet.nodes) < MAX_NODES:
+            self.fleet.add()
+
+    @rule(seconds=st.sampled_from((0.01, 0.1, 1.0, 5.0)))
+    def wait(self, seconds):
+        self.fleet.advance(seconds)
+
+    @invariant()
+    def revisions_only_grow_and_name_one_configuration(self):
+        for node in self.fleet.nodes.values():
+            config = node.core.view.config
+            assert config.revision >= self.highest.get(node.name, 0)
+            self.highest[node.name] = config.revision
+            seen = self.pieces.setdefault(config.revision, config)
+            assert seen == config
+
+    @invariant()
+    def an_answer_is_unique_to_its_note(self):
+        for request, (node, note) in self.submitted.items():
+            report = node.reports.get(request)
+            if isinstance(report, NoteAccepted):
+                revision = self.answers.setdefault(note.identifier, report.revision)
+                assert revision == report.revision
+        assert len(set(self.answers.values())) == len(self.answers)
+
+    def teardown(self):
+        if not hasattr(self, "fleet"):
+            return
+        fleet = self.fleet
+        self.platform(False, False, 1)
+        self.heal_links()
+        assert fleet.advance_until(self.has_settled, 90, 0.5), self.describe()
+        self.an_answer_is_unique_to_its_note()
+        self.revisions_only_grow_and_name_one_configuration()
+        self.check_final()
+
+    def stored(self):
+        value = self.fleet.platform.store.read("config", self.fleet.now).value
+        return Config() if value is None else JsonConfigCodec().decode(value)
+
+    def has_settled(self):
+        revision = self.stored().revision
+        nodes = self.fleet.nodes.values()
+        pending = [
+            request
+            for request, (node, _) in self.submitted.items()
+            if node.is_up and request not in node.reports
+        ]
+        return not pending and all(
+            one.core.view.config.revision == revision for one in nodes
+        )
+
+    def describe(self):
+        revisions = {n: one.core.report("") for n, one in self.fleet.nodes.items()}
+        return self.stored().revision, revisions
+
+    def check_final(self):
+        stored = self.stored()
+        order = [item.split(":", 2) for item in stored.notes]
+        assert [int(item[0]) for item in order] == list(range(1, len(order) + 1))
+        identifiers = [item[2] for item in order]
+        assert len(set(identifiers)) == len(identifiers)
+        for identifier, revision in self.answers.items():
+            assert identifiers[revision - 1] == identifier
+        unknown = set()
+        for request, (node, note) in self.submitted.items():
+            report = node.reports.get(request)
+            error = getattr(report, "error", None)
+            if report is None or isinstance(error, PlatformUnavailableError):
+                unknown.add(note.identifier)
+        assert set(identifiers) <= set(self.answers) | unknown
+
+
+def test_fuzz_release_notes():
+    run_state_machine_as_test(
+        ReleaseNoteMachine,
+        settings=settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=25,
+            derandomize=True,
+            deadline=None,
+            database=None,
+        ),
+    )
