--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -15,7 +15,18 @@
     ClaimTransfer,
     ClaimTransferred,
 )
-from monsoonmill.model import Address, Config, HttpRequest, HttpResponse, Member
+from monsoonmill.model import (
+    Address,
+    Config,
+    HttpRequest,
+    HttpResponse,
+    Key,
+    Member,
+    Organisation,
+    Route,
+    Service,
+    WithdrawnKey,
+)
 from monsoonmill.reasons import Importance, Outcome, Reason
 
 
@@ -155,17 +166,42 @@
         Digest of the sender's whole list, to find lost updates.
     answer : bool
         Whether the receiver should answer with its own changes.
+    is_list : bool
+        Whether the entries answer a ``MemberListRequest`` and may be old.
     """
 
     members: tuple[Member, ...]
     revision: int
     members_digest: int = 0
     answer: bool = False
+    is_list: bool = False
 
 
 @frozen
 class MemberListRequest:
-    """Asks for the whole membership list."""
+    """Asks for the parts of the membership list that differ from the sender's.
+
+    Attributes
+    ----------
+    digests : tuple of int
+        Digests of the parts; empty asks for the whole list.
+    """
+
+    digests: tuple[int, ...] = ()
+
+
+@frozen
+class ProbeRequest:
+    """Asks to probe a node that the sender can't reach."""
+
+    node: str
+
+
+@frozen
+class ProbeReport:
+    """Tells that a node that was probed for another one answers."""
+
+    node: str
 
 
 @frozen
@@ -182,6 +218,39 @@
     config: Config
 
 
+@frozen
+class ConfigDelta:
+    """Carries what changed in a configuration since an older revision.
+
+    Attributes
+    ----------
+    base : int
+        Oldest revision that the changes lead on from.
+    removed : tuple of str
+        Entries that are gone, such as ``keys/branch-1``.
+    notes : tuple of str
+        Notes accepted since the base.
+    entry_revisions : dict
+        Revisions of the entries that were changed or removed.
+    withdrawn_keys : dict
+        Keys withdrawn since the base, by their digest.
+    withdrawn_count : int
+        Number of withdrawn keys in the whole configuration.
+    """
+
+    base: int
+    revision: int
+    organisations: tuple[Organisation, ...] = ()
+    keys: tuple[Key, ...] = ()
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    removed: tuple[str, ...] = ()
+    notes: tuple[str, ...] = ()
+    entry_revisions: dict[str, int] = field(factory=dict)
+    withdrawn_keys: dict[str, WithdrawnKey] = field(factory=dict)
+    withdrawn_count: int = 0
+
+
 @frozen
 class TokenRequest:
     """Asks the token holder of an organisation for call tokens.
@@ -270,8 +339,11 @@
     Cancel,
     MemberGossip,
     MemberListRequest,
+    ProbeRequest,
+    ProbeReport,
     ConfigRequest,
     ConfigReply,
+    ConfigDelta,
     TokenRequest,
     TokenGrant,
     LoanRequest,
