Judge nodes by real traffic and eject those that fail or stall

Cause: a stalled backend server kept getting calls until their callers' time was up. Found on the way: the elapsed time of every attempt was 0, since the call's clock was set after the attempt was closed; and a call given up by its caller was reported as a lost connection.

Unfit: half of the last 8 attempts broke, or 3 calls of a route without any answer for 4 times its usual time and at least 2 s. Out for 5 s, doubling to 40 s, then one call at a time.

--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -19,6 +19,7 @@
 from monsoonmill.decisions.signals import (
     Answer,
     AttemptObserved,
+    AttemptStarted,
     CallArrived,
     CallerGone,
     ClaimDenied,
@@ -34,7 +35,7 @@
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import RefusedError
-from monsoonmill.messages import Cancel, Forward, Reply
+from monsoonmill.messages import Cancel, Forward, Load, Reply
 from monsoonmill.model import CallContext, Route
 from monsoonmill.reasons import Importance, Outcome, Reason, RetryReason
 from monsoonmill.settings import Settings
@@ -177,13 +178,13 @@
     def answer_expired(self, arg):
         """Tell the caller that the time is up."""
         ran = Outcome.UNKNOWN if self.attempt else Outcome.NOT_RUN
-        self._cancel_attempt(timed_out=True)
+        self._cancel_attempt(Reason.DEADLINE)
         self._answer(Answer(self.name, ran, reason=Reason.DEADLINE))
 
     def abandon(self, arg):
         """Stop what is under way, since nobody waits for the answer."""
         ran = Outcome.UNKNOWN if self.attempt else Outcome.NOT_RUN
-        self._cancel_attempt(timed_out=False)
+        self._cancel_attempt(Reason.CANCELLED)
         self._answer(Answer(self.name, ran, reason=Reason.CANCELLED))
 
     def answer_over_rate(self, denied: TokenDenied):
@@ -227,10 +228,11 @@
         )
         self._answer(refusal)
 
-    def _cancel_attempt(self, timed_out):
+    def _cancel_attempt(self, reason):
         if self.attempt:
             self.out.append(Send(self.node, Cancel(self.attempt)))
-            self.flow.forget_attempt(self, None, timed_out)
+            failure = Failure(Outcome.UNKNOWN, reason)
+            self.flow.forget_attempt(self, failure, self.now)
 
     def _answer(self, answer):
         if self.has_claim:
@@ -415,6 +417,7 @@
         call.sent_at = call.now
         self._attempts[call.attempt] = call
         self._router.sent(node)
+        call.out.append(AttemptStarted(node, call.route.name))
         call.out.append(Send(node, self._forward(call)))
 
     def _forward(self, call):
@@ -441,7 +444,7 @@
         if call is None or call.node != signal.node:
             self.counters.add("late-replies")
             return
-        self.forget_attempt(call, reply, timed_out=False)
+        self.forget_attempt(call, reply, now, reply.load)
         call.tries = min(call.tries, max(reply.tries, NO_TRIES_LEFT))
         if reply.response is not None and reply.reason is None:
             yield from self._send(call.name, "attempt_done", now, reply)
@@ -454,8 +457,8 @@
         """Fail the attempts at a node whose stream broke; they may have run."""
         lost = [one for one in self._attempts.values() if one.node == signal.node]
         for call in lost:
-            self.forget_attempt(call, None, timed_out=False)
             call.failure = Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+            self.forget_attempt(call, call.failure, now)
             yield from self._fail(call, now)
 
     def on_peer_unreachable(self, signal, now):
@@ -464,24 +467,30 @@
             return
         call = self._attempts.get(signal.message.attempt)
         if call is not None:
-            self.forget_attempt(call, None, timed_out=False)
             call.failure = Failure(Outcome.NOT_RUN, Reason.UNREACHABLE)
+            self.forget_attempt(call, call.failure, now)
             yield from self._fail(call, now)
 
     def _fail(self, call, now):
         call.excluded.add(call.node)
         yield from self._send(call.name, "attempt_failed", now)
 
-    def forget_attempt(self, call: Call, reply: Reply | None, timed_out: bool) -> None:
+    def forget_attempt(
+        self, call: Call, end: Reply | Failure, now: float, load: Load | None = None
+    ) -> None:
         """Stop to await an attempt's reply."""
         del self._attempts[call.attempt]
-        self._router.ended(call.node, reply.load if reply else None, call.now)
-        outcome = reply.outcome if reply else Outcome.UNKNOWN
-        reason = reply.reason if reply else Reason.CONNECTION_LOST
-        elapsed_s = max(call.now - call.sent_at, 0.0)
+        self._router.ended(call.node, load, now)
+        elapsed_s = max(now - call.sent_at, 0.0)
+        timed_out = end.reason is Reason.DEADLINE
         call.out.append(
             AttemptObserved(
-                call.node, call.route.name, outcome, reason, elapsed_s, timed_out
+                call.node,
+                call.route.name,
+                end.outcome,
+                end.reason,
+                elapsed_s,
+                timed_out,
             )
         )
         call.attempt = ""
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -62,7 +62,7 @@
         self.members = Membership(cfg, own, self.view, rng)
         self.authorization = Authorization(self.view.config)
         self.contexts = ContextTable(make_token)
-        self.health = make_health(cfg)
+        self.health = make_health(cfg, self.members, self.counters)
         self.poison = make_poison(cfg, self.members, self.counters)
         self.router = Router(self.members, self.health, rng)
         self.quota = make_quota(cfg, self.members, self.view, rng, self.counters)
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -7,6 +7,7 @@
 from monsoonmill.decisions.claims import Claims, NoClaims
 from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.health import AllHealthy, Health
+from monsoonmill.decisions.health_passive import PassiveHealth
 from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.poison import NoPoison, PoisonGuard
 from monsoonmill.decisions.quota import Quota, UnlimitedQuota
@@ -36,9 +37,11 @@
     return AdmitAll()
 
 
-def make_health(cfg: Settings) -> Health:
+def make_health(cfg: Settings, members: Membership, counters: Counters) -> Health:
     """Return the part that judges other nodes by their answers."""
-    return AllHealthy()
+    if cfg.policy.health == "none":
+        return AllHealthy()
+    return PassiveHealth(cfg.health, members, counters)
 
 
 def make_poison(cfg: Settings, members: Membership, counters: Counters) -> PoisonGuard:
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -228,6 +228,14 @@
     fingerprints: tuple[int, ...]
 
 
+@frozen
+class AttemptStarted:
+    """An attempt of a call was sent to a node."""
+
+    node: str
+    route: str
+
+
 @frozen
 class AttemptObserved:
     """How an attempt at a node went, for the judgement of its health.
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -93,7 +93,7 @@
     quota: str = field(validator=in_(("unlimited",)))
     claims: str = field(validator=in_(("none",)))
     admission: str = field(validator=in_(("all",)))
-    health: str = field(validator=in_(("none",)))
+    health: str = field(validator=in_(("passive", "none")))
     poison: str = field(validator=in_(("none",)))
 
 
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,155 @@
+"""Judgement of nodes by real traffic."""
+
+from monsoonmill.decisions.signals import (
+    AttemptObserved,
+    AttemptStarted,
+    CallerGone,
+    RunFailure,
+    RunFinished,
+)
+from monsoonmill.reasons import Outcome, Reason
+from tests.configs import SECRET, small_config
+from tests.fleet import FakeFleet, answer_ok
+
+SIZE = 4
+
+
+class Servers:
+    """Backend servers whose behaviour tests choose by node."""
+
+    def __init__(self, usual_s=0.2):
+        self.usual_s = usual_s
+        self.stalled = set()
+        self.broken = set()
+
+    def run(self, node, call):
+        if node.name in self.stalled:
+            return None
+        if node.name in self.broken:
+            return 0.01, RunFinished(call.attempt, None, RunFailure.BROKEN_ANSWER)
+        return answer_ok(node, call, self.usual_s)
+
+
+def make_fleet(servers, **sections):
+    fleet = FakeFleet(run=servers.run, **sections)
+    fleet.install(small_config())
+    nodes = [fleet.add(service="donkeys") for _ in range(SIZE)]
+    fleet.advance(5)
+    return fleet, nodes
+
+
+def send_calls(fleet, node, seconds, calls_per_s=40, **fields):
+    names = []
+    for number in range(int(seconds * calls_per_s)):
+        name = fleet.call(node, "donkeys", f"/lookup/{number}", bearer=SECRET, **fields)
+        names.append(name)
+        fleet.advance(1 / calls_per_s)
+    return names
+
+
+def lost(node, names):
+    answers = [node.answers[name] for name in names if name in node.answers]
+    return sum(1 for answer in answers if answer.reason is not None)
+
+
+def health(node):
+    return node.core.health.status()
+
+
+def ejected_by(node, other, now):
+    return node.core.health.is_ejected(other.name, now)
+
+
+def test_stalled_server_is_ejected_before_its_calls_time_out():
+    servers = Servers()
+    fleet, nodes = make_fleet(servers)
+    send_calls(fleet, nodes[0], 2)
+    servers.stalled.add(nodes[2].name)
+    names = send_calls(fleet, nodes[0], 4)
+    assert ejected_by(nodes[0], nodes[2], fleet.now)
+    fleet.advance(1)
+    assert len([name for name in names if name not in nodes[0].answers]) < 8
+
+
+def test_server_that_recovers_gets_calls_again():
+    servers = Servers()
+    fleet, nodes = make_fleet(servers)
+    send_calls(fleet, nodes[0], 2)
+    servers.broken.add(nodes[2].name)
+    send_calls(fleet, nodes[0], 4)
+    assert nodes[2].name in health(nodes[0])
+    servers.broken.clear()
+    send_calls(fleet, nodes[0], 45, 10)
+    assert health(nodes[0]) == {}
+    before = len(fleet.executed)
+    send_calls(fleet, nodes[0], 2)
+    assert nodes[2].name in {name for name, _ in fleet.executed[before:]}
+
+
+def test_slow_but_healthy_servers_are_not_ejected():
+    servers = Servers(usual_s=4.0)
+    fleet, nodes = make_fleet(servers)
+    names = send_calls(fleet, nodes[0], 20, 10, timeout_ms=60_000)
+    assert health(nodes[0]) == {}
+    fleet.advance(10)
+    assert lost(nodes[0], names) == 0
+    assert nodes[0].core.health.stall_s("lookup") >= 4 * servers.usual_s
+
+
+def test_slow_servers_are_not_ejected_when_their_callers_leave():
+    servers = Servers(usual_s=1.5)
+    fleet, nodes = make_fleet(servers)
+    for number in range(40):
+        name = fleet.call(nodes[0], "donkeys", f"/lookup/{number}", bearer=SECRET)
+        fleet.advance(0.1)
+        if number % 2:
+            fleet.give(nodes[0], CallerGone(name))
+    fleet.advance(5)
+    assert health(nodes[0]) == {}
+
+
+def test_never_more_than_half_of_the_servers_are_ejected():
+    servers = Servers()
+    fleet, nodes = make_fleet(servers)
+    send_calls(fleet, nodes[0], 2)
+    servers.broken.update(node.name for node in nodes)
+    for _ in range(40):
+        send_calls(fleet, nodes[0], 0.25)
+        assert len(health(nodes[0])) <= SIZE // 2
+    assert len(health(nodes[0])) == SIZE // 2
+
+
+def test_rested_server_gets_only_a_few_calls_until_one_is_answered():
+    servers = Servers()
+    fleet, nodes = make_fleet(servers)
+    send_calls(fleet, nodes[0], 2)
+    servers.stalled.add(nodes[2].name)
+    send_calls(fleet, nodes[0], 4)
+    assert ejected_by(nodes[0], nodes[2], fleet.now)
+    before = len(fleet.executed)
+    send_calls(fleet, nodes[0], 16)
+    trials = [name for name, _ in fleet.executed[before:] if name == nodes[2].name]
+    assert 1 <= len(trials) <= 4
+
+
+def test_ejection_rests_longer_after_failed_trials():
+    fleet, nodes = make_fleet(Servers())
+    judge, other = nodes[0], nodes[1].name
+    rests = []
+    for _ in range(3):
+        for _ in range(8):
+            fleet.give(judge, AttemptStarted(other, "lookup"))
+            fleet.give(judge, broken_answer(other))
+        began = fleet.now
+        assert judge.core.health.is_ejected(other, began)
+        assert fleet.advance_until(
+            lambda: not judge.core.health.is_ejected(other, fleet.now), 60
+        )
+        rests.append(round(fleet.now - began))
+    assert rests == [5, 10, 20]
+
+
+def broken_answer(node):
+    return AttemptObserved(
+        node, "lookup", Outcome.UNKNOWN, Reason.BROKEN_ANSWER, 0.0, False
+    )
--- a/tests/trials/members.py
+++ b/tests/trials/members.py
@@ -14,8 +14,10 @@
 from tests.fleet import FakeFleet
 from tests.test_release_notes import make_note
 
+SETTLE_S = 30.0
 QUIET_S = 30.0
 STEP_S = 0.05
+FIRST_PORT = 10_000
 CODEC = MsgpackCodec(PEER_MESSAGES)
 
 
@@ -50,12 +52,13 @@
 def start_fleet(size):
     fleet = MeteredFleet(seed=size)
     for number in range(size):
-        fleet.add(data_centre=f"dc-{number % 4}", service="donkeys")
+        place = f"dc-{number % 4}"
+        fleet.add(data_centre=place, service="donkeys", port=FIRST_PORT + number)
         if number % 8 == 7:
             fleet.advance(0.2)
     joined = fleet.advance_until(lambda: agree(fleet, size), 120, STEP_S)
     assert joined, "the fleet did not agree"
-    fleet.advance(5)
+    fleet.advance(SETTLE_S)
     return fleet
 
 
