Refuse requests that crash backend servers, fleet-wide

Cause: a request that crashes its backend server was tried again at the next one, and again with each re-send. One crash raised one report for each broken connection, naming everything that ran. A call whose first attempt may have run was answered not-run when its second one was refused.

Change: FleetPoisonGuard with the chart suspect_request. A suspect is not tried again, and no call goes on after two lost connections. Outcomes stay unknown once unknown.

Ruled out: naming everything in flight as before; no retry at all after a lost connection, which would fail each lookup in flight when a server dies.

--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -87,6 +87,12 @@
         Node that the attempt was sent to.
     excluded : set of str
         Nodes that have failed this call.
+    lost : int
+        Attempts whose connection broke.
+    was_suspect : bool
+        Whether the request was a suspect when the attempt was sent.
+    may_have_run : bool
+        Whether an attempt ended of which it is unknown whether it ran.
     """
 
     arrival: CallArrived
@@ -102,6 +108,9 @@
     node: str = ""
     sent_at: float = 0.0
     excluded: set[str] = field(factory=set)
+    lost: int = 0
+    was_suspect: bool = False
+    may_have_run: bool = False
     failure: Failure | None = None
     has_claim: bool = False
     chart: ChartInstance | None = None
@@ -415,6 +424,7 @@
         call.attempt = f"{self._node}/{self._incarnation}/{next(self._numbers)}"
         call.node = node
         call.sent_at = call.now
+        call.was_suspect = self._poison.is_suspect(call.fingerprint)
         self._attempts[call.attempt] = call
         self._router.sent(node)
         call.out.append(AttemptStarted(node, call.route.name))
@@ -473,6 +483,10 @@
 
     def _fail(self, call, now):
         call.excluded.add(call.node)
+        call.lost += call.failure.reason is Reason.CONNECTION_LOST
+        call.may_have_run |= call.failure.outcome is not Outcome.NOT_RUN
+        if call.may_have_run:
+            call.failure = evolve(call.failure, outcome=Outcome.UNKNOWN)
         yield from self._send(call.name, "attempt_failed", now)
 
     def forget_attempt(
@@ -502,6 +516,10 @@
             return RetryReason.NOT_IDEMPOTENT
         if failure.outcome is not Outcome.NOT_RUN and not call.route.idempotent:
             return RetryReason.NOT_IDEMPOTENT
+        if failure.reason is Reason.CONNECTION_LOST and not (
+            self._poison.may_retry_lost(call.lost, call.was_suspect)
+        ):
+            return RetryReason.SUSPECT
         return self.retries.check(call.route.service, call.tries)
 
     # Driving the charts.
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -8,6 +8,7 @@
 from monsoonmill.decisions.admission import Admission
 from monsoonmill.decisions.authorization import Authorization
 from monsoonmill.decisions.contexts import ContextTable
+from monsoonmill.decisions.crashes import CrashCounter
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.poison import PoisonGuard
 from monsoonmill.decisions.signals import (
@@ -24,6 +25,7 @@
     RunFinished,
     Send,
     SlotReleased,
+    SuspectAnswered,
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import RefusedError
@@ -188,6 +190,7 @@
         self.draining = False
         self._authorization = authorization
         self._poison = poison
+        self._crashes = CrashCounter()
         self._counters = counters
         self._service = ""
         self._executions: dict[str, Execution] = {}
@@ -272,14 +275,21 @@
 
     def on_run_finished(self, signal, now):
         """Reply with the end of a request."""
-        if signal.failure is RunFailure.CONNECTION_LOST:
-            yield BackendCrashed(tuple(self._running_fingerprints()))
+        execution = self._executions.get(signal.attempt)
+        if execution is not None and execution.chart.is_in("running"):
+            yield from self._look_for_crash(execution, signal, now)
         yield from self._send(signal.attempt, "finished", now, signal)
 
-    def _running_fingerprints(self):
-        for execution in self._executions.values():
-            if execution.chart.is_in("running"):
-                yield execution.forward.fingerprint
+    def _look_for_crash(self, execution, finished, now):
+        fingerprint = execution.forward.fingerprint
+        if finished.failure is RunFailure.CONNECTION_LOST:
+            yield BackendCrashed(self._crashes.lose_connection(now), (fingerprint,))
+        elif finished.failure is RunFailure.NOT_SENT:
+            self._crashes.note_change()
+        elif finished.response is not None and not _is_not_run(finished.response):
+            self._crashes.note_change()
+            if self._poison.is_suspect(fingerprint):
+                yield SuspectAnswered(fingerprint)
 
     def _send(self, attempt, event, now, arg=None):
         execution = self._executions.get(attempt)
--- a/src/monsoonmill/decisions/poison.py
+++ b/src/monsoonmill/decisions/poison.py
@@ -13,6 +13,22 @@
     def is_poison(self, fingerprint: int) -> bool:
         """Return whether a request is refused."""
 
+    @abstractmethod
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Return whether a request was lost in a crash and not answered since."""
+
+    @abstractmethod
+    def may_retry_lost(self, lost: int, was_suspect: bool) -> bool:
+        """Return whether a call whose connection broke is tried elsewhere.
+
+        Parameters
+        ----------
+        lost : int
+            Connections that broke under this call.
+        was_suspect : bool
+            Whether it was a suspect already when it was sent.
+        """
+
     @abstractmethod
     def on_backend_crashed(self, signal: BackendCrashed, now: float):
         """Take the requests at a crash into account."""
@@ -29,6 +45,14 @@
         """Return False."""
         return False
 
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Return False."""
+        return False
+
+    def may_retry_lost(self, lost: int, was_suspect: bool) -> bool:
+        """Return True."""
+        return True
+
     def on_backend_crashed(self, signal: BackendCrashed, now: float):
         """Take nothing into account."""
         return ()
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -10,6 +10,7 @@
 from monsoonmill.decisions.health_passive import PassiveHealth
 from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.poison import NoPoison, PoisonGuard
+from monsoonmill.decisions.poison_guard import FleetPoisonGuard
 from monsoonmill.decisions.quota import Quota, UnlimitedQuota
 from monsoonmill.settings import Settings
 
@@ -46,4 +47,6 @@
 
 def make_poison(cfg: Settings, members: Membership, counters: Counters) -> PoisonGuard:
     """Return the part that recognises requests that crash backend servers."""
-    return NoPoison()
+    if cfg.policy.poison == "none":
+        return NoPoison()
+    return FleetPoisonGuard(cfg.poison, members, counters)
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -217,17 +217,27 @@
 
 @frozen
 class BackendCrashed:
-    """The backend server broke a connection while these requests ran.
+    """The backend server broke the connections of these requests.
 
     Attributes
     ----------
+    crash : int
+        Number of the crash at this node.
     fingerprints : tuple of int
-        The requests that were at the backend server.
+        The requests whose connections broke.
     """
 
+    crash: int
     fingerprints: tuple[int, ...]
 
 
+@frozen
+class SuspectAnswered:
+    """The backend server answered a request that was suspected."""
+
+    fingerprint: int
+
+
 @frozen
 class AttemptStarted:
     """An attempt of a call was sent to a node."""
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -345,13 +345,26 @@
 
 @frozen
 class SuspectReport:
-    """Names requests that were at a backend server when it crashed."""
+    """Names requests that were at a backend server when it crashed.
+
+    Attributes
+    ----------
+    crash : str
+        Names the crash; unique over all nodes and times.
+    """
 
     node: str
     crash: str
     fingerprints: tuple[int, ...]
 
 
+@frozen
+class SuspectClearance:
+    """Names requests that a backend server has answered after a crash."""
+
+    fingerprints: tuple[int, ...]
+
+
 @frozen
 class PoisonNotice:
     """Names requests that are refused from now on."""
@@ -383,6 +396,7 @@
     ClaimReply,
     ClaimSettle,
     SuspectReport,
+    SuspectClearance,
     PoisonNotice,
 )
 """All types that may travel between nodes."""
--- a/src/monsoonmill/reasons.py
+++ b/src/monsoonmill/reasons.py
@@ -71,6 +71,7 @@
     BUDGET_SPENT = "no-retry-budget-spent"
     RATIO_SPENT = "no-retry-ratio-spent"
     NOT_IDEMPOTENT = "no-retry-not-idempotent"
+    SUSPECT = "no-retry-suspect"
 
 
 HTTP_STATUS = {
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -94,7 +94,7 @@
     claims: str = field(validator=in_(("none",)))
     admission: str = field(validator=in_(("all",)))
     health: str = field(validator=in_(("passive", "none")))
-    poison: str = field(validator=in_(("none",)))
+    poison: str = field(validator=in_(("on", "none")))
 
 
 @frozen
--- /dev/null
+++ b/tests/crashing.py
@@ -0,0 +1,45 @@
+"""Backend servers that a poison request crashes, for the fake fleet."""
+
+from collections import defaultdict
+
+from monsoonmill.decisions.signals import RunFailure, RunFinished
+from monsoonmill.model import HttpResponse
+
+POISON = b"poison"
+CRASH_S = 0.01
+
+
+class CrashingServers:
+    """All requests at a server are lost when it runs a poison request."""
+
+    def __init__(self, usual_s=0.02, restart_s=1.0):
+        self.usual_s = usual_s
+        self.restart_s = restart_s
+        self.crashes = []
+        self.fleet = None
+        self._running = defaultdict(set)
+        self._down_until = defaultdict(float)
+
+    def run(self, node, call):
+        if self.fleet.now < self._down_until[node.name]:
+            return 0.001, RunFinished(call.attempt, None, RunFailure.NOT_SENT)
+        self._running[node.name].add(call.attempt)
+        if POISON in call.request.body:
+            self.fleet._later(CRASH_S, lambda: self._crash(node))
+        self.fleet._later(self.usual_s, lambda: self._finish(node, call))
+        return None
+
+    def _crash(self, node):
+        lost, self._running[node.name] = self._running[node.name], set()
+        if lost:
+            self.crashes.append(node.name)
+            self._down_until[node.name] = self.fleet.now + self.restart_s
+        for attempt in sorted(lost):
+            end = RunFinished(attempt, None, RunFailure.CONNECTION_LOST)
+            self.fleet.give(node, end)
+
+    def _finish(self, node, call):
+        if call.attempt in self._running[node.name]:
+            self._running[node.name].remove(call.attempt)
+            response = HttpResponse(200, (), call.request.body)
+            self.fleet.give(node, RunFinished(call.attempt, response, None))
--- /dev/null
+++ b/tests/trials/poison.py
@@ -0,0 +1,73 @@
+"""Trial: backend servers that one poison request takes down.
+
+Its caller sends it 20 times, each time after an answer, to random nodes.
+Run with ``python -m tests.trials.poison``.
+"""
+
+from random import Random
+
+from monsoonmill.reasons import Reason
+from tests.configs import SECRET, small_config
+from tests.crashing import POISON, CrashingServers
+from tests.fleet import FakeFleet
+
+RESENDS = 20
+POPULAR = 10
+STEP_S = 0.005
+
+
+def run_trial(policy, size, method, path, calls_per_s, seed):
+    """Return crashes, refusals of the poison, and what became of the others."""
+    servers = CrashingServers()
+    sections = {"policy": {"poison": policy}}
+    fleet = servers.fleet = FakeFleet(run=servers.run, seed=seed, **sections)
+    fleet.install(small_config(1e6, 1e6))
+    nodes = [fleet.add(service="donkeys") for _ in range(size)]
+    fleet.advance(8)
+    rng = Random(seed)
+    others = []
+    refused = 0
+    for _ in range(RESENDS):
+        node = rng.choice(nodes)
+        fields = {"bearer": SECRET, "body": POISON}
+        name = fleet.call(node, "donkeys", path, method, **fields)
+        due = fleet.now + 0.5
+        while fleet.now < due or name not in node.answers:
+            if rng.random() < calls_per_s * STEP_S:
+                other = rng.choice(nodes)
+                popular = f"/lookup/{rng.randrange(POPULAR)}"
+                others.append(
+                    (other, fleet.call(other, "donkeys", popular, bearer=SECRET))
+                )
+            fleet.advance(STEP_S)
+        refused += node.answers[name].reason is Reason.POISON
+    fleet.advance(12)
+    ends = [node.answers[name].reason for node, name in others]
+    unjust = sum(1 for end in ends if end is Reason.POISON)
+    lost = sum(1 for end in ends if end is not None)
+    return len(servers.crashes), refused, len(ends), lost, unjust
+
+
+def main():
+    for size in (4, 16):
+        for method, path in (("GET", "/lookup/x"), ("POST", "/pledges")):
+            for policy in ("on", "none"):
+                for calls_per_s in (0, 100):
+                    rows = [
+                        run_trial(policy, size, method, path, calls_per_s, seed)
+                        for seed in (1, 2, 3)
+                    ]
+                    crashes = [row[0] for row in rows]
+                    refused = [row[1] for row in rows]
+                    calls, lost, unjust = (
+                        sum(row[index] for row in rows) for index in (2, 3, 4)
+                    )
+                    print(
+                        f"{size} servers, {method}, {calls_per_s} other calls/s, "
+                        f"guard {policy}: crashes {crashes}, refused {refused} of "
+                        f"{RESENDS}; others {calls}, lost {lost}, unjustly {unjust}"
+                    )
+
+
+if __name__ == "__main__":
+    main()
