Prove the oracles with broken variants, and mend two of them

Cause: of 16 broken variants in tests/test_mutants_members.py two survived the release note fuzz: a note that does not look for its identifier after a lost answer, and one that applies to any base. The oracle now also demands that each accepted note follows its base directly and that a note refused as stale is never in the configuration; both variants are caught. The membership oracle also demands that no node holds a higher version than the owner's.

--- a/tests/test_membership_fuzz.py
+++ b/tests/test_membership_fuzz.py
@@ -112,6 +112,16 @@
                 assert rank(member) >= self.ranks.get(key, rank(member))
                 self.ranks[key] = rank(member)
 
+    @invariant()
+    def nobody_but_the_owner_raises_a_version(self):
+        for owner in self.fleet.nodes.values():
+            own = owner.core.members.own
+            for node in self.fleet.nodes.values():
+                member = node.core.members.find(owner.name)
+                if member is not None:
+                    held = (member.incarnation, member.version)
+                    assert held <= (own.incarnation, own.version)
+
     @invariant()
     def same_digest_means_same_list(self):
         lists = {}
@@ -160,14 +170,14 @@
         }
 
 
+SETTINGS = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=25,
+    derandomize=True,
+    deadline=None,
+    database=None,
+)
+
+
 def test_fuzz_membership():
-    run_state_machine_as_test(
-        MembershipMachine,
-        settings=settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=25,
-            derandomize=True,
-            deadline=None,
-            database=None,
-        ),
-    )
+    run_state_machine_as_test(MembershipMachine, settings=SETTINGS)
--- a/tests/test_release_notes_fuzz.py
+++ b/tests/test_release_notes_fuzz.py
@@ -14,7 +14,7 @@
 
 from monsoonmill.codec_json import JsonConfigCodec
 from monsoonmill.decisions.signals import NoteAccepted, NoteSubmitted
-from monsoonmill.errors import PlatformUnavailableError
+from monsoonmill.errors import PlatformUnavailableError, StaleNoteError
 from monsoonmill.model import Config
 from tests.fleet import FakeFleet
 from tests.test_release_notes import make_note
@@ -152,23 +152,27 @@
         assert len(set(identifiers)) == len(identifiers)
         for identifier, revision in self.answers.items():
             assert identifiers[revision - 1] == identifier
+        bases = {note.identifier: note.base for _, note in self.submitted.values()}
+        assert [bases[one] + 1 for one in identifiers] == [int(one[0]) for one in order]
         unknown = set()
         for request, (node, note) in self.submitted.items():
             report = node.reports.get(request)
             error = getattr(report, "error", None)
             if report is None or isinstance(error, PlatformUnavailableError):
                 unknown.add(note.identifier)
+            if isinstance(error, StaleNoteError):
+                assert note.identifier not in identifiers
         assert set(identifiers) <= set(self.answers) | unknown
 
 
+SETTINGS = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=25,
+    derandomize=True,
+    deadline=None,
+    database=None,
+)
+
+
 def test_fuzz_release_notes():
-    run_state_machine_as_test(
-        ReleaseNoteMachine,
-        settings=settings(
-            max_examples=EXAMPLES,
-            stateful_step_count=25,
-            derandomize=True,
-            deadline=None,
-            database=None,
-        ),
-    )
+    run_state_machine_as_test(ReleaseNoteMachine, settings=SETTINGS)
