--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -20,6 +20,7 @@
 from monsoonmill.decisions.signals import (
     Answer,
     AttemptObserved,
+    AttemptStarted,
     CallArrived,
     CallerGone,
     ClaimDenied,
@@ -35,7 +36,7 @@
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import RefusedError
-from monsoonmill.messages import Cancel, Forward, Reply
+from monsoonmill.messages import Cancel, Forward, Load, Reply
 from monsoonmill.model import CallContext, Route
 from monsoonmill.reasons import Importance, Outcome, Reason, RetryReason
 from monsoonmill.settings import Settings
@@ -87,6 +88,10 @@
         Node that the attempt was sent to.
     excluded : set of str
         Nodes that have failed this call.
+    lost : int
+        Attempts whose connection broke.
+    was_suspect : bool
+        Whether the request was a suspect when the attempt was sent.
     may_have_run : bool
         Whether any attempt so far may have run, whatever became of later ones.
     """
@@ -104,8 +109,10 @@
     node: str = ""
     sent_at: float = 0.0
     excluded: set[str] = field(factory=set)
-    failure: Failure | None = None
+    lost: int = 0
+    was_suspect: bool = False
     may_have_run: bool = False
+    failure: Failure | None = None
     has_claim: bool = False
     chart: ChartInstance | None = None
     now: float = 0.0
@@ -181,13 +188,13 @@
     def answer_expired(self, arg):
         """Tell the caller that the time is up."""
         outcome = self._outcome_so_far()
-        self._cancel_attempt(timed_out=True)
+        self._cancel_attempt(Reason.DEADLINE)
         self._answer(Answer(self.name, outcome, reason=Reason.DEADLINE))
 
     def abandon(self, arg):
         """Stop what is under way, since nobody waits for the answer."""
         outcome = self._outcome_so_far()
-        self._cancel_attempt(timed_out=False)
+        self._cancel_attempt(Reason.CANCELLED)
         self._answer(Answer(self.name, outcome, reason=Reason.CANCELLED))
 
     def answer_over_rate(self, denied: TokenDenied):
@@ -248,10 +255,11 @@
         is_open = self.attempt or self.may_have_run
         return Outcome.UNKNOWN if is_open else Outcome.NOT_RUN
 
-    def _cancel_attempt(self, timed_out):
+    def _cancel_attempt(self, reason):
         if self.attempt:
             self.out.append(Send(self.node, Cancel(self.attempt)))
-            self.flow.forget_attempt(self, None, timed_out)
+            failure = Failure(Outcome.UNKNOWN, reason)
+            self.flow.forget_attempt(self, failure, self.now)
 
     def _answer(self, answer):
         if self.has_claim:
@@ -450,8 +458,10 @@
         call.attempt = f"{self._node}/{self._incarnation}/{next(self._numbers)}"
         call.node = node
         call.sent_at = call.now
+        call.was_suspect = self._poison.is_suspect(call.fingerprint)
         self._attempts[call.attempt] = call
         self._router.sent(node)
+        call.out.append(AttemptStarted(node, call.route.name))
         call.out.append(Send(node, self._forward(call)))
 
     def _forward(self, call):
@@ -479,7 +489,7 @@
             self.counters.add("late-replies")
             return
         reply = check_whole(reply)
-        self.forget_attempt(call, reply, timed_out=False)
+        self.forget_attempt(call, reply, now, reply.load)
         call.tries = min(call.tries, max(reply.tries, NO_TRIES_LEFT))
         if reply.response is not None and reply.reason is None:
             yield from self._send(call.name, "attempt_done", now, reply)
@@ -492,8 +502,8 @@
         """Fail the attempts at a node whose stream broke; they may have run."""
         lost = [one for one in self._attempts.values() if one.node == signal.node]
         for call in lost:
-            self.forget_attempt(call, None, timed_out=False)
             call.failure = Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+            self.forget_attempt(call, call.failure, now)
             yield from self._fail(call, now)
 
     def on_peer_unreachable(self, signal, now):
@@ -502,26 +512,34 @@
             return
         call = self._attempts.get(signal.message.attempt)
         if call is not None:
-            self.forget_attempt(call, None, timed_out=False)
             call.failure = Failure(Outcome.NOT_RUN, Reason.UNREACHABLE)
+            self.forget_attempt(call, call.failure, now)
             yield from self._fail(call, now)
 
     def _fail(self, call, now):
         call.excluded.add(call.node)
-        if call.failure.outcome is not Outcome.NOT_RUN:
-            call.may_have_run = True
+        call.lost += call.failure.reason is Reason.CONNECTION_LOST
+        call.may_have_run |= call.failure.outcome is not Outcome.NOT_RUN
+        if call.may_have_run:
+            call.failure = evolve(call.failure, outcome=Outcome.UNKNOWN)
         yield from self._send(call.name, "attempt_failed", now)
 
-    def forget_attempt(self, call: Call, reply: Reply | None, timed_out: bool) -> None:
+    def forget_attempt(
+        self, call: Call, end: Reply | Failure, now: float, load: Load | None = None
+    ) -> None:
         """Stop to await an attempt's reply."""
         del self._attempts[call.attempt]
-        self._router.ended(call.node, reply.load if reply else None, call.now)
-        outcome = reply.outcome if reply else Outcome.UNKNOWN
-        reason = reply.reason if reply else Reason.CONNECTION_LOST
-        elapsed_s = max(call.now - call.sent_at, 0.0)
+        self._router.ended(call.node, load, now)
+        elapsed_s = max(now - call.sent_at, 0.0)
+        timed_out = end.reason is Reason.DEADLINE
         call.out.append(
             AttemptObserved(
-                call.node, call.route.name, outcome, reason, elapsed_s, timed_out
+                call.node,
+                call.route.name,
+                end.outcome,
+                end.reason,
+                elapsed_s,
+                timed_out,
             )
         )
         call.attempt = ""
@@ -533,6 +551,10 @@
             return RetryReason.NOT_IDEMPOTENT
         if failure.outcome is not Outcome.NOT_RUN and not call.route.idempotent:
             return RetryReason.NOT_IDEMPOTENT
+        if failure.reason is Reason.CONNECTION_LOST and not (
+            self._poison.may_retry_lost(call.lost, call.was_suspect)
+        ):
+            return RetryReason.SUSPECT
         return self.retries.check(call.route.service, call.tries)
 
     # Driving the charts.
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -10,8 +10,10 @@
 from monsoonmill.decisions.claims_single import SingleHomeClaims
 from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.health import AllHealthy, Health
+from monsoonmill.decisions.health_passive import PassiveHealth
 from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.poison import NoPoison, PoisonGuard
+from monsoonmill.decisions.poison_guard import FleetPoisonGuard
 from monsoonmill.decisions.quota import Quota, UnlimitedQuota
 from monsoonmill.settings import Settings
 
@@ -47,11 +49,15 @@
     return AdmitAll()
 
 
-def make_health(cfg: Settings) -> Health:
+def make_health(cfg: Settings, members: Membership, counters: Counters) -> Health:
     """Return the part that judges other nodes by their answers."""
-    return AllHealthy()
+    if cfg.policy.health == "none":
+        return AllHealthy()
+    return PassiveHealth(cfg.health, members, counters)
 
 
 def make_poison(cfg: Settings, members: Membership, counters: Counters) -> PoisonGuard:
     """Return the part that recognises requests that crash backend servers."""
-    return NoPoison()
+    if cfg.policy.poison == "none":
+        return NoPoison()
+    return FleetPoisonGuard(cfg.poison, members, counters)
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -314,13 +314,26 @@
 
 @frozen
 class SuspectReport:
-    """Names requests that were at a backend server when it crashed."""
+    """Names requests that were at a backend server when it crashed.
+
+    Attributes
+    ----------
+    crash : str
+        Names the crash; unique over all nodes and times.
+    """
 
     node: str
     crash: str
     fingerprints: tuple[int, ...]
 
 
+@frozen
+class SuspectClearance:
+    """Names requests that a backend server has answered after a crash."""
+
+    fingerprints: tuple[int, ...]
+
+
 @frozen
 class PoisonNotice:
     """Names requests that are refused from now on."""
@@ -360,6 +373,7 @@
     ClaimMapRequest,
     ClaimMapReply,
     SuspectReport,
+    SuspectClearance,
     PoisonNotice,
 )
 """All types that may travel between nodes."""
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -112,8 +112,8 @@
     quota: str = field(validator=in_(("unlimited",)))
     claims: str = field(validator=in_(("paired", "single-home", "none")))
     admission: str = field(validator=in_(("all",)))
-    health: str = field(validator=in_(("none",)))
-    poison: str = field(validator=in_(("none",)))
+    health: str = field(validator=in_(("passive", "none")))
+    poison: str = field(validator=in_(("on", "none")))
 
 
 @frozen
