Give a new backup its copy before the map names it

Cause: a primary that was cut off from all others replaced its backup by a node that it could not reach, and a lone node took every partition over, so a cut of one node emptied partitions whose other copy was well.

The node that changes a record first freezes its copy and transfers it; the record names the transfer that its backup must have. A node that has just lost most others lets those act first, and both copies must be gone for lost_s before a partition goes on without them. A frozen copy still tells the end of claims that it knows.

Ruled out: transfer after the change (the former way), which leaves one copy while it runs.

--- a/src/monsoonmill/claim_messages.py
+++ b/src/monsoonmill/claim_messages.py
@@ -108,10 +108,15 @@
 
     Attributes
     ----------
+    name : str
+        Names the transfer; unique over all nodes and times.
+    epoch : int
+        Epoch for which the receiver will hold the copy.
     batch : int
-        Counts from 0 in each epoch; the next one follows the receipt.
+        Counts from 0; the next one follows the receipt.
     """
 
+    name: str
     partition: int
     epoch: int
     batch: int
@@ -121,13 +126,21 @@
 
 @frozen
 class ClaimTransferred:
-    """Tells the primary that the backup holds a batch."""
+    """Tells the sender of a batch that it is held."""
 
+    name: str
     partition: int
-    epoch: int
     batch: int
 
 
+@frozen
+class ClaimCopyWanted:
+    """Tells the primary that its backup does not have the partition's copy."""
+
+    partition: int
+    epoch: int
+
+
 @frozen
 class ClaimMapRequest:
     """Asks for the claim map if the receiver's is newer.
--- a/src/monsoonmill/claim_records.py
+++ b/src/monsoonmill/claim_records.py
@@ -40,6 +40,9 @@
         None while the primary is alone.
     epoch : int
         Grows by one with each change of the record.
+    transfer : str or None
+        Names the transfer that gave the backup its copy for this epoch; empty
+        if it had one from the epoch before; None if it gets one only now.
     emptied_epoch : int
         Epoch that began without the claims made before, because both copies
         were lost; 0 once such claims can't matter any more.
@@ -49,10 +52,16 @@
     backup: CopyHolder | None
     epoch: int = FIRST_EPOCH
     emptied_epoch: int = NEVER_EMPTIED
+    transfer: str | None = None
+
+    @property
+    def holders(self) -> tuple[CopyHolder, ...]:
+        """The processes that the record names."""
+        return tuple(one for one in (self.primary, self.backup) if one is not None)
 
     def holds(self, holder: CopyHolder) -> bool:
         """Return whether a process is named by the record."""
-        return holder in (self.primary, self.backup)
+        return holder in self.holders
 
 
 @frozen
--- a/src/monsoonmill/decisions/claim_map.py
+++ b/src/monsoonmill/decisions/claim_map.py
@@ -57,6 +57,8 @@
     ----------
     confirmed_at : float
         Time at which the platform is known to have held this version.
+    reached_at : float
+        Time of the platform's last answer to this node.
     """
 
     def __init__(self, members: Membership, codec: ConfigCodec, rng: Random):
@@ -73,6 +75,7 @@
         self._is_reading = False
         self._proposed: ClaimMap | None = None
         self._read_at = NEVER
+        self.reached_at = NEVER
         self._empty_reads = 0
         self._is_unsure = False
         self._retry_s = FIRST_RETRY_S
@@ -111,9 +114,9 @@
         reader = self._reader()
         is_reader = reader == self._members.own.node
         if self._is_stale(now) and self._rng.random() < DIRECT_READ_SHARE:
-            yield from self._read(now)
+            yield from self.read(now)
         elif is_reader or self._is_unsure:
-            yield from self._read(now)
+            yield from self.read(now)
         else:
             yield from self.ask(reader, now)
 
@@ -145,7 +148,7 @@
         if chosen != own:
             yield from self.ask(chosen, now, fresh=chosen == reader)
         elif now - self._read_at >= FRESH_READ_S:
-            yield from self._read(now)
+            yield from self.read(now)
 
     def tell(self, node: str) -> Send:
         """Return a message that tells a node of the map's version."""
@@ -162,7 +165,7 @@
         reply = ClaimMapReply(req.number, self.version, age_ms, claim_map)
         yield Send(signal.node, reply)
         if req.fresh and now - self._read_at >= FRESH_READ_S:
-            yield from self._read(now)
+            yield from self.read(now)
 
     def on_reply(self, signal: Received, now: float) -> Iterator[object]:
         """Adopt another node's map if it is newer."""
@@ -182,7 +185,8 @@
             self._confirm(asked_at - reply.age_ms / 1000)
 
     # The platform.
-    def _read(self, now):
+    def read(self, now: float) -> Iterator[object]:
+        """Read the platform's value, unless a call is under way."""
         if self.is_busy:
             return
         self._is_reading = True
@@ -198,6 +202,7 @@
     def on_done(self, signal: PlatformDone, now: float) -> Iterator[object]:
         """Take the stored map or the end of a write."""
         stored = signal.values[0]
+        self.reached_at = now
         if signal.request == READ:
             self._is_reading = False
             self._is_unsure = False
@@ -236,7 +241,7 @@
             self._proposed = None
             self._is_unsure = True
             if isinstance(signal.error, PlatformConflictError):
-                yield from self._read(now)
+                yield from self.read(now)
                 return
         self.timers.set(REFRESH, now + self._retry_s * self._rng.uniform(0.5, 1.0))
         self._retry_s = min(2 * self._retry_s, LAST_RETRY_S)
--- a/src/monsoonmill/decisions/claim_replication.py
+++ b/src/monsoonmill/decisions/claim_replication.py
@@ -2,51 +2,32 @@
 
 A change counts once the backup has acknowledged it in the record's epoch. A
 backup of a later epoch acknowledges nothing of an earlier one, so a primary
-that has been replaced can grant nothing.
+that has been replaced can grant nothing. A new backup is given its copy before
+the record names it; until then the copy that gives it is frozen.
 """
 
 from collections.abc import Iterator
 from functools import cache
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from monsoonmill.chart import BoundChart, ChartInstance, bind_methods
 from monsoonmill.claim_messages import (
+    ClaimCopyWanted,
     ClaimReplicate,
     ClaimReplicated,
-    ClaimReply,
     ClaimTransfer,
     ClaimTransferred,
 )
-from monsoonmill.claim_records import (
-    FIRST_EPOCH,
-    ClaimCopy,
-    CopyHolder,
-    PartitionRecord,
-)
+from monsoonmill.claim_records import FIRST_EPOCH, CopyHolder, PartitionRecord
+from monsoonmill.decisions.claim_pending import PendingChanges
 from monsoonmill.decisions.claim_table import ClaimEntry, ClaimTable
+from monsoonmill.decisions.claim_transfer import OutgoingTransfer, cut_batches
 from monsoonmill.decisions.signals import Send
-from monsoonmill.reasons import Outcome, Reason
 
-BATCH_ENTRIES = 64
-BATCH_BYTES = 1 << 17
 NEVER_COMPLETE = 0
 
 
-@define
-class PendingChange:
-    """A change that the backup has not acknowledged.
-
-    Attributes
-    ----------
-    replies : list of Send
-        What is sent once it has.
-    """
-
-    entry: ClaimEntry
-    replies: list[Send] = field(factory=list)
-
-
 @define(eq=False)
 class Replica:
     """The own copy of one partition; owner of its replica chart.
@@ -55,16 +36,29 @@
     ----------
     complete_epoch : int
         Last epoch in which this copy held every claim.
+    received : str
+        Name of the transfer that this copy comes or came from.
+    plan : PartitionRecord or None
+        Record that this copy is frozen for.
+    progress_at : float
+        Time of the last step towards the plan.
+    proposed_version : int or None
+        Version of the map that the plan was last proposed for.
     """
 
     partition: int
     own: CopyHolder
     table: ClaimTable
+    pending: PendingChanges
     record: PartitionRecord | None = None
     complete_epoch: int = NEVER_COMPLETE
-    pending: dict[int, PendingChange] = field(factory=dict)
-    batches: list[tuple[ClaimCopy, ...]] = field(factory=list)
-    batch: int = 0
+    outgoing: OutgoingTransfer | None = None
+    received: str = ""
+    next_batch: int = 0
+    plan: PartitionRecord | None = None
+    adopted_at: float = 0.0
+    progress_at: float = 0.0
+    proposed_version: int | None = None
     chart: ChartInstance | None = None
     now: float = 0.0
     out: list = field(factory=list)
@@ -72,7 +66,7 @@
     @classmethod
     def from_table(cls, partition: int, own: CopyHolder, table: ClaimTable):
         """Make the replica of a partition that this process has no part in."""
-        replica = cls(partition, own, table)
+        replica = cls(partition, own, table, PendingChanges(table))
         replica.chart = bind_replica(cls).start(replica)
         return replica
 
@@ -91,90 +85,135 @@
         """Whether this copy holds every claim of the record's epoch."""
         return self.record is not None and self.complete_epoch == self.record.epoch
 
+    @property
+    def is_frozen(self) -> bool:
+        """Whether this copy takes no change until the record has changed."""
+        return self.chart.is_in("frozen")
+
     @property
     def is_waiting(self) -> bool:
-        """Whether the backup owes an acknowledgement."""
-        return self.chart.is_in("transferring") or bool(self.pending)
+        """Whether another node owes an acknowledgement."""
+        is_sending = self.chart.is_in("transferring") or self.chart.is_in("preparing")
+        return is_sending or bool(self.pending)
 
     # Changes of the record.
     def adopt(self, record: PartitionRecord, now: float) -> Iterator[object]:
         """Take the part that a new record gives this process."""
         if self.record is not None and record.epoch <= self.record.epoch:
             return
-        was_complete = self._knows_all_before(record)
         if record.emptied_epoch == record.epoch:
             # What was copied here may have changed since.
             self.table.drop_partition(self.partition)
+            self.complete_epoch = record.epoch - 1
         self.record = record
+        self.adopted_at = now
+        self.plan = None
+        self.proposed_version = None
         self.pending.clear()
         self.now = now
-        if record.primary == self.own and was_complete:
+        if record.primary == self.own and self._knows_all_before():
             self.complete_epoch = record.epoch
             self.chart.send("lead")
         elif record.backup == self.own:
-            is_start = record.epoch == FIRST_EPOCH
-            self.chart.send("follow_from_start" if is_start else "follow")
+            self.chart.send("follow")
+            self._want_copy()
         else:
             self.chart.send("leave")
         yield from self._flush()
 
-    def _knows_all_before(self, record):
-        if record.epoch == FIRST_EPOCH or record.emptied_epoch == record.epoch:
-            return True
-        return self.complete_epoch == record.epoch - 1
+    def _knows_all_before(self):
+        epoch = self.record.epoch
+        return epoch == FIRST_EPOCH or self.complete_epoch == epoch - 1
+
+    def _want_copy(self):
+        if self.chart.is_in("filling") and self.record.transfer is not None:
+            wanted = ClaimCopyWanted(self.partition, self.record.epoch)
+            self.out.append(Send(self.record.primary.node, wanted))
+
+    def needs_no_transfer(self, arg):
+        """Return whether the backup, if there is one, has its copy already."""
+        return self.record.backup is None or self.record.transfer is not None
 
-    def is_alone(self, arg):
-        """Return whether there is no backup, or it starts with nothing too."""
-        return self.record.backup is None or self.record.epoch == FIRST_EPOCH
+    def has_full_copy(self, arg):
+        """Return whether this copy is the one that the record relies on."""
+        if self.record.transfer == "":
+            return self._knows_all_before()
+        return self.record.transfer == self.received
 
     def drop_claims(self, arg):
         """Forget claims that another copy decides on."""
         self.complete_epoch = NEVER_COMPLETE
+        self.received = ""
+        self.next_batch = 0
         self.pending.clear()
-        self.batch = 0
         self.table.drop_partition(self.partition)
 
     def note_complete(self, arg):
         """Remember that this copy holds every claim."""
         self.complete_epoch = self.record.epoch
 
+    # Preparing a change of the record.
+    def prepare(
+        self, plan: PartitionRecord, now: float
+    ) -> tuple[PartitionRecord | None, list[object]]:
+        """Work towards a record.
+
+        Returns
+        -------
+        ready : PartitionRecord or None
+            The record to propose; None while it is not ready.
+        signals : list
+            What has to be sent.
+        """
+        self.now = now
+        if self.plan is None and self._may_freeze(plan):
+            self.plan = plan
+            self.progress_at = now
+            if not self.chart.send("prepare"):
+                self.plan = None
+        signals = list(self._flush())
+        if self.plan != plan or not self.chart.is_in("prepared"):
+            return None, signals
+        name = self.outgoing.name if self.needs_copy(None) else ""
+        return evolve(plan, transfer=name), signals
+
+    def _may_freeze(self, plan):
+        # What the backup lacks goes along with a copy from the primary itself.
+        is_copied = plan.primary == self.own and not self.record.holds(plan.backup)
+        return is_copied or not self.pending
+
+    def needs_copy(self, arg):
+        """Return whether the planned backup has no copy yet."""
+        backup = self.plan.backup
+        return backup is not None and not self.record.holds(backup)
+
+    def leads(self, arg):
+        """Return whether this copy is the primary's."""
+        return self.is_primary
+
+    def resume(self) -> None:
+        """Give up a plan; it must be certain that its record can't come."""
+        self.plan = None
+        self.proposed_version = None
+        self.chart.send("resume")
+
     # As primary.
     def replicate(self, entry: ClaimEntry, replies: list[Send], now: float):
         """Give a change to the backup; yield the replies once it holds it."""
         if self.record.backup is None:
             yield from replies
             return
-        self.pending[entry.number] = PendingChange(entry, replies)
+        self.pending.add(entry, replies)
         yield self._replicate_message(entry, now)
 
     def is_held_by_both(self, entry: ClaimEntry) -> bool:
         """Return whether the backup holds an entry as it is."""
-        return entry.number not in self.pending
+        return entry not in self.pending
 
     def on_replicated(self, message: ClaimReplicated, now: float):
         """Send the replies that waited for the backup."""
-        if message.epoch != self.record.epoch:
-            return
-        change = self.pending.pop(message.number, None)
-        if change is None:
-            return
-        if not message.accepted:
-            yield from self._refuse(change)
-        elif change.entry.number == message.number:
-            yield from change.replies
-
-    def _refuse(self, change):
-        """Forget a claim that the backup has no room for: it never ran."""
-        self.pending.pop(change.entry.number, None)
-        self.table.remove(change.entry)
-        for reply in change.replies:
-            denied = ClaimReply(
-                change.entry.claim,
-                granted=False,
-                outcome=Outcome.NOT_RUN,
-                reason=Reason.CLAIMS_FULL,
-            )
-            yield Send(reply.node, denied)
+        if message.epoch == self.record.epoch:
+            yield from self.pending.on_receipt(message)
 
     def _replicate_message(self, entry, now):
         epoch = self.record.epoch
@@ -183,50 +222,50 @@
 
     def send_pending(self, arg):
         """Repeat the changes that have no acknowledgement."""
-        for number, change in list(self.pending.items()):
-            if change.entry.number != number:
-                # A later change of the same claim carries this one.
-                del self.pending[number]
-            else:
-                self.out.append(self._replicate_message(change.entry, self.now))
+        for entry in self.pending.latest():
+            self.out.append(self._replicate_message(entry, self.now))
 
     def start_transfer(self, arg):
         """Cut the claims into batches and send the first."""
+        record = self.plan or self.record
+        if self.plan is None:
+            self.pending.clear()
         copies = [entry.copy(self.now) for entry in self.table.entries(self.partition)]
-        self.batches = list(cut_batches(copies)) or [()]
-        self.batch = 0
-        self.send_batch(arg)
-
-    def send_batch(self, arg):
-        """Send the batch that the backup has to acknowledge."""
-        is_last = self.batch == len(self.batches) - 1
-        message = ClaimTransfer(
+        self.outgoing = OutgoingTransfer(
+            f"{self.own.node}/{self.own.incarnation}/{next(self.table.transfers)}",
+            record.backup.node,
             self.partition,
-            self.record.epoch,
-            self.batch,
-            is_last,
-            self.batches[self.batch],
+            record.epoch,
+            tuple(cut_batches(copies)),
         )
-        self.out.append(Send(self.record.backup.node, message))
+        self.send_batch(arg)
 
-    def has_batches_left(self, arg):
-        """Return whether the batch in transfer is not the last."""
-        return self.batch + 1 < len(self.batches)
+    def send_batch(self, arg):
+        """Send the batch that the receiver has to acknowledge."""
+        self.out.append(self.outgoing.message())
 
-    def next_batch(self, arg):
-        """Send the batch after the one that the backup holds."""
-        self.batch += 1
-        self.send_batch(arg)
+    def transfer_is_done(self, arg):
+        """Return whether the receiver holds all batches."""
+        return self.outgoing.is_done
 
     def on_transferred(self, message: ClaimTransferred, now: float):
         """Go on with the transfer."""
-        if (message.epoch, message.batch) == (self.record.epoch, self.batch):
+        outgoing = self.outgoing
+        if outgoing is not None and outgoing.note_held(message.name, message.batch):
             self.now = now
+            self.progress_at = now
             self.chart.send("batch_held")
             yield from self._flush()
 
+    def on_copy_wanted(self, message: ClaimCopyWanted, now: float):
+        """Give the backup a copy that it does not have after all."""
+        if self.is_primary and message.epoch == self.record.epoch:
+            self.now = now
+            self.chart.send("copy_wanted")
+            yield from self._flush()
+
     def resend(self, now: float):
-        """Repeat what the backup has not acknowledged."""
+        """Repeat what has not been acknowledged."""
         self.now = now
         self.chart.send("resend")
         yield from self._flush()
@@ -234,7 +273,11 @@
     # As backup.
     def on_replicate(self, node: str, message: ClaimReplicate, now: float):
         """Hold a change of the primary and acknowledge it."""
-        if not self._follows(node, message.epoch) or not self.chart.is_in("following"):
+        if not self._follows(node, message.epoch):
+            return
+        self._want_copy()
+        yield from self._flush()
+        if not self.chart.is_in("following"):
             return
         copy = message.copy
         known = self.table.find(self.partition, copy.organisation, copy.key)
@@ -245,21 +288,34 @@
         yield Send(node, receipt)
 
     def on_transfer(self, node: str, message: ClaimTransfer, now: float):
-        """Hold a batch of the primary's claims and acknowledge it."""
-        if not self._follows(node, message.epoch):
+        """Hold a batch of a copy and acknowledge it."""
+        if not self._accepts_transfer(node, message):
             return
-        if self.chart.is_in("filling") and message.batch >= self.batch:
-            has_room = self.table.has_room(len(message.copies))
-            if message.batch > self.batch or not has_room:
+        if message.name != self.received:
+            if message.batch != 0 or not self.chart.send("offered"):
                 return
+            self.received = message.name
+        has_room = self.table.has_room(len(message.copies))
+        if message.batch > self.next_batch or not has_room:
+            return
+        if message.batch == self.next_batch:
             self._fill(message, now)
-        receipt = ClaimTransferred(self.partition, message.epoch, message.batch)
-        yield Send(node, receipt)
+        yield Send(node, ClaimTransferred(message.name, self.partition, message.batch))
+
+    def _accepts_transfer(self, node, message):
+        record = self.record
+        if record is None:
+            return False
+        if message.epoch == record.epoch:
+            return self._follows(node, message.epoch)
+        is_from_holder = node in {one.node for one in record.holders}
+        is_next = message.epoch == record.epoch + 1
+        return is_next and is_from_holder and not record.holds(self.own)
 
     def _fill(self, message, now):
         for copy in message.copies:
             self.table.take_copy(self.partition, copy, now)
-        self.batch += 1
+        self.next_batch += 1
         if message.last:
             self.chart.send("filled")
 
@@ -278,18 +334,3 @@
 def bind_replica(cls: type) -> BoundChart:
     """Return the replica chart bound to ``Replica`` or a class made from it."""
     return bind_methods("claim_replica", cls)
-
-
-def cut_batches(copies: list[ClaimCopy]) -> Iterator[tuple[ClaimCopy, ...]]:
-    """Yield the copies in batches of bounded number and size."""
-    batch = []
-    size = 0
-    for copy in copies:
-        body = len(copy.response.body) if copy.response else 0
-        if batch and (len(batch) == BATCH_ENTRIES or size + body > BATCH_BYTES):
-            yield tuple(batch)
-            batch, size = [], 0
-        batch.append(copy)
-        size += body
-    if batch:
-        yield tuple(batch)
--- a/src/monsoonmill/decisions/claim_rules.py
+++ b/src/monsoonmill/decisions/claim_rules.py
@@ -70,6 +70,10 @@
         if entry.claim == req.claim:
             return Verdict(_grant(req), entry)
         return _deny(req, Outcome.UNKNOWN, Reason.DUPLICATE, RETRY_AFTER_S)
+    return _deny_ended(entry, req)
+
+
+def _deny_ended(entry, req):
     if entry.state is ClaimState.UNKNOWN:
         return _deny(req, Outcome.UNKNOWN, Reason.DUPLICATE)
     reply = ClaimReply(
@@ -82,6 +86,16 @@
     return Verdict(reply, entry)
 
 
+def judge_ended(table: ClaimTable, req: ClaimRequest) -> ClaimReply | None:
+    """Return the denial of a key whose claim has ended, which is final."""
+    entry = table.find(req.partition, req.organisation, req.key)
+    if entry is None or entry.fingerprint != req.fingerprint:
+        return None
+    if entry.state not in (ClaimState.DONE, ClaimState.UNKNOWN):
+        return None
+    return _deny_ended(entry, req).reply
+
+
 def judge_settle(table: ClaimTable, settle: ClaimSettle, now: float) -> Verdict:
     """Note a call's end, if the entry is still that call's."""
     entry = table.find(settle.partition, settle.organisation, settle.key)
--- a/src/monsoonmill/decisions/claim_table.py
+++ b/src/monsoonmill/decisions/claim_table.py
@@ -1,6 +1,7 @@
 """Claims that a node holds, in partitions, with bounds on all of them."""
 
 from collections.abc import Iterator
+from itertools import count
 
 from attrs import define
 
@@ -93,6 +94,7 @@
         self._size = 0
         self._answer_bytes = 0
         self._last_number = NO_CLAIM
+        self.transfers = count(1)
 
     def __len__(self):
         return self._size
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 
 from monsoonmill.claim_messages import (
+    ClaimCopyWanted,
     ClaimMapReply,
     ClaimMapRequest,
     ClaimRedirect,
@@ -285,6 +286,7 @@
     ClaimReplicated,
     ClaimTransfer,
     ClaimTransferred,
+    ClaimCopyWanted,
     ClaimMapRequest,
     ClaimMapReply,
     SuspectReport,
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -164,6 +164,7 @@
     partitions: int = field(validator=[instance_of(int), ge(1), le(MAX_PARTITIONS)])
     retention_s: int = _count()
     confirm_s: int = _count()
+    lost_s: int = _count()
     max_entries: int = _count()
     max_answer_bytes: int = _count(0)
     max_answers_bytes: int = _count(0)
--- a/tests/claims_fleet.py
+++ b/tests/claims_fleet.py
@@ -15,6 +15,7 @@
     "partitions": 4,
     "retention_s": RETENTION_S,
     "confirm_s": 30,
+    "lost_s": 5,
     "max_entries": 1000,
 }
 
@@ -82,12 +83,14 @@
     def is_settled(self):
         pairs = [node.core.claims for node in self.nodes.values()]
         serving = sum(
-            replica.is_serving for one in pairs for replica in one.replicas.values()
+            replica.is_serving
+            for one in pairs
+            for replica in one.home.replicas.values()
         )
         versions = {one.keeper.version for one in pairs}
         members = (len(list(one.core.members.live())) for one in self.nodes.values())
         is_known = len(versions) == 1 and set(members) == {len(self.nodes)}
-        return serving == CLAIMS["partitions"] and is_known
+        return serving == self.sections["claims"]["partitions"] and is_known
 
     def primary_of(self, key, organisation="branch"):
         """Return the names of the holders of a key's claim."""
--- a/tests/test_claims_paired.py
+++ b/tests/test_claims_paired.py
@@ -119,13 +119,13 @@
     record = fleet.primary_of("k")
     for holder in (record.primary, record.backup):
         fleet.kill(fleet.nodes[holder.node])
-    fleet.advance(12)
+    fleet.advance(20)
     name = fleet.pledge(nodes_of(fleet)[0], "k")
     fleet.advance(4)
     assert fleet.answer(name).reason is Reason.CLAIMS_LOST
     assert fleet.answer(name).outcome is Outcome.UNKNOWN
     assert len(fleet.executed) == 1
-    fleet.advance(nodes_of(fleet)[0].core.claims.recovery_s)
+    fleet.advance(nodes_of(fleet)[0].core.claims.home.recovery_s)
     name = fleet.pledge(nodes_of(fleet)[0], "new")
     fleet.advance(4)
     assert fleet.answer(name).outcome is Outcome.DONE
@@ -170,7 +170,7 @@
 
 
 def test_resends_on_both_sides_of_a_partition_run_once():
-    fleet = ready_fleet(6)
+    fleet = ready_fleet(6, claims={"retention_s": 900})
     record = fleet.primary_of("k")
     alone = {record.primary.node}
     split(fleet, alone)
@@ -183,7 +183,7 @@
     names += [fleet.pledge(node, "k") for node in nodes_of(fleet)]
     fleet.advance(10)
     assert len(fleet.executed) == 1
-    assert fleet.answer(names[-1]).outcome is not Outcome.NOT_RUN
+    assert fleet.answer(names[-1]).outcome is Outcome.DONE
     fleet.check()
 
 
@@ -192,7 +192,7 @@
     record = fleet.primary_of("k")
     pair = {record.primary.node, record.backup.node}
     split(fleet, pair)
-    recovery_s = nodes_of(fleet)[0].core.claims.recovery_s
+    recovery_s = nodes_of(fleet)[0].core.claims.home.recovery_s
     inside = [node for node in nodes_of(fleet) if node.name in pair]
     outside = [node for node in nodes_of(fleet) if node.name not in pair]
     fleet.hides_platform_from |= pair
@@ -235,7 +235,7 @@
     assert {one.reason for one in refused} == {Reason.CLAIMS_FULL}
     assert {one.outcome for one in refused} == {Outcome.NOT_RUN}
     for node in nodes_of(fleet):
-        assert len(node.core.claims.table) <= 6
+        assert len(node.core.claims.home.table) <= 6
     fleet.check()
 
 
--- a/tests/test_mutants_claims.py
+++ b/tests/test_mutants_claims.py
@@ -3,6 +3,7 @@
 import pytest
 
 from monsoonmill.decisions import claim_rules, policies
+from monsoonmill.decisions.claim_home import ClaimHome
 from monsoonmill.decisions.claim_replication import Replica
 from monsoonmill.decisions.claims_paired import PairedClaims
 from monsoonmill.decisions.signals import RunFailure
@@ -17,24 +18,29 @@
 
 
 class ServesBeforeTransfer(Replica):
-    def is_alone(self, arg):
-        return True
+    def needs_copy(self, arg):
+        return False
 
-    def adopt(self, record, now):
-        yield from super().adopt(record, now)
-        # The new backup counts as complete as soon as it is named.
-        self.chart.send("filled")
+    def has_full_copy(self, arg):
+        return True
 
 
-class TakesNoNoteOfLoss(PairedClaims):
-    def _is_recovered(self, record, partition, now):
+class TakesNoNoteOfLoss(ClaimHome):
+    def is_recovered(self, record, partition, now):
         return True
 
 
 def with_replica(cls):
-    class Mutant(PairedClaims):
+    class MutantHome(ClaimHome):
         replica_class = cls
 
+    return with_home(MutantHome)
+
+
+def with_home(cls):
+    class Mutant(PairedClaims):
+        home_class = cls
+
     return Mutant
 
 
@@ -65,7 +71,7 @@
     record = fleet.primary_of("k")
     for holder in (record.primary, record.backup):
         fleet.kill(fleet.nodes[holder.node])
-    fleet.advance(12)
+    fleet.advance(20)
     send_late(fleet)
 
 
@@ -106,7 +112,7 @@
     [
         (with_replica(GrantsBeforeReceipt), lose_primary_before_its_backup_heard),
         (with_replica(ServesBeforeTransfer), lose_one_copy_after_the_other),
-        (TakesNoNoteOfLoss, lose_both_copies),
+        (with_home(TakesNoNoteOfLoss), lose_both_copies),
     ],
 )
 def test_mutant_runs_a_pledge_twice(mutant, history, monkeypatch):
