--- a/src/monsoonmill/node/web.py
+++ b/src/monsoonmill/node/web.py
@@ -2,12 +2,14 @@
 
 from abc import ABC, abstractmethod
 from http import HTTPStatus
+from io import BytesIO
 from json import dumps
 
 from attrs import field, frozen
 from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
 from monsoonmill.counters import Counters
+from monsoonmill.node.socket_files import open_socket_file
 from monsoonmill.settings import HttpSettings
 
 PROBLEM_TYPE = "application/problem+json"
@@ -85,7 +87,7 @@
 
 
 class CountingRequest(HTTPRequest):
-    """Counts the requests that cheroot refuses by itself."""
+    """Counts the requests that cheroot refuses by itself, and writes answers."""
 
     def simple_response(self, status, msg=""):
         """Write a refusal of cheroot's own and count it."""
@@ -93,12 +95,26 @@
         self.server.counters.add("too-large" if code == "413" else "bad-request")
         super().simple_response(status, msg)
 
+    def write_whole(self, body: bytes) -> None:
+        """Write the headers and the body with one call to the kernel."""
+        wfile = self.conn.wfile
+        self.conn.wfile = BytesIO()
+        try:
+            self.ensure_headers_sent()
+            head = self.conn.wfile.getvalue()
+        finally:
+            self.conn.wfile = wfile
+        wfile.write(head + body)
+
 
 class CountingConnection(HTTPConnection):
     """A connection whose refused requests are counted."""
 
     RequestHandlerClass = CountingRequest
 
+    def __init__(self, server, sock, makefile=None):
+        super().__init__(server, sock, open_socket_file)
+
 
 class AppGateway(Gateway):
     """Reads a request, asks the server's app, and writes the response."""
@@ -133,9 +149,7 @@
         ]
         length = str(len(response.body)).encode()
         req.outheaders.append((b"Content-Length", length))
-        req.send_headers()
-        if req.method != b"HEAD" and response.body:
-            req.write(response.body)
+        req.write_whole(b"" if req.method == b"HEAD" else response.body)
 
 
 def _phrase(status):
