Answer a call unknown while its claim is not known

One method now covers both. The new test in tests/test_claims_paired.py failed before and passes now.

--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -232,11 +232,6 @@
             )
         )
 
-    def _outcome_so_far(self):
-        # While the claim is not known, an earlier call of this key may have run.
-        is_unknown = self.attempt or self.chart.is_in("waiting_for_claim")
-        return Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
-
     def _refuse(self, reason, retry_after_s=0.0):
         refusal = Answer(
             self.name, Outcome.NOT_RUN, reason=reason, retry_after_s=retry_after_s
@@ -246,7 +241,9 @@
     def _outcome_so_far(self):
         """Return what is known when no answer has come."""
         is_open = self.attempt or self.may_have_run
-        return Outcome.UNKNOWN if is_open else Outcome.NOT_RUN
+        # While the claim is not known, an earlier call of this key may have run.
+        is_unknown = is_open or self.chart.is_in("waiting_for_claim")
+        return Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
 
     def _cancel_attempt(self, timed_out):
         if self.attempt:
--- a/tests/test_claims_paired.py
+++ b/tests/test_claims_paired.py
@@ -1,6 +1,6 @@
 """Pledges run at most once while nodes, links and the platform fail."""
 
-from monsoonmill.decisions.signals import DrainRequested, RunFailure
+from monsoonmill.decisions.signals import CallerGone, DrainRequested, RunFailure
 from monsoonmill.reasons import Outcome, Reason
 from tests.claims_fleet import ClaimsFleet
 
@@ -112,6 +112,16 @@
     fleet.check()
 
 
+def test_call_that_is_abandoned_before_its_claim_is_known_may_have_run_earlier():
+    fleet = ready_fleet()
+    record = fleet.primary_of("k")
+    split(fleet, {record.primary.node})
+    node = next(one for one in nodes_of(fleet) if one.name != record.primary.node)
+    name = fleet.pledge(node, "k")
+    fleet.give(node, CallerGone(name))
+    assert fleet.answer(name).outcome is Outcome.UNKNOWN
+
+
 def test_partition_that_lost_both_copies_runs_nothing_until_claims_have_lapsed():
     fleet = ready_fleet(6)
     fleet.pledge(nodes_of(fleet)[0], "k")
--- a/tests/trials/claims_trial.py
+++ b/tests/trials/claims_trial.py
@@ -29,6 +29,7 @@
     "partitions": 64,
     "retention_s": 900,
     "confirm_s": 1800,
+    "lost_s": 60,
     "max_entries": 200_000,
 }
 RESEND_S = 1.0
