Repeat a claim map change whose answer was lost until its end is known

Cause: a primary froze its copy for a change, the platform failed before it answered, and the planned backup died. The primary may not go on while the platform might still write that record, but it no longer proposed it, so nothing ever told it what became of it: the partition stayed frozen until some other node changed the map.

It now proposes the same record until the platform answers. The new test in tests/test_claims_paired.py (one partition, planned backup killed in an outage) failed before and passes now. A mutant that resumes at once was tried and dropped: the transfer's name in the record keeps it from doing harm.

--- a/src/monsoonmill/decisions/claim_placement.py
+++ b/src/monsoonmill/decisions/claim_placement.py
@@ -30,7 +30,7 @@
 UNKNOWN_IS_LOST_S = 15.0
 """A holder that the member list lacks this long is taken for lost."""
 MINORITY_FACTOR = 5
-"""A node that has lost most others waits this many times longer to go on alone."""
+"""A node that has lost half of the others waits so much longer to go on alone."""
 
 
 @unique
@@ -182,7 +182,7 @@
             return True
         since = max(self._doubted_since.get(holder.node, now), replica.adopted_at)
         lost = sum(self._is_doubted(one) for one in self._doubted_since)
-        factor = MINORITY_FACTOR if lost > len(self.alive()) else 1
+        factor = MINORITY_FACTOR if lost >= len(self.alive()) else 1
         return now - since >= factor * self._cfg.lost_s
 
     def _is_replaced(self, holder):
--- a/src/monsoonmill/decisions/claim_review.py
+++ b/src/monsoonmill/decisions/claim_review.py
@@ -99,7 +99,10 @@
         now: float,
     ):
         """Return the record to propose now, and signals that lead further."""
-        if replica.is_frozen:
+        if replica.is_frozen and self._is_uncertain(replica):
+            # Only the platform's answer to the same change tells what became of it.
+            wanted = replica.plan
+        elif replica.is_frozen:
             self._give_up(replica, wanted, now)
         if wanted == record or not _needs_preparation(wanted, replica):
             return wanted, ()
@@ -109,12 +112,13 @@
         self._home.expect_receipts(now)
         return ready or record, signals
 
+    def _is_uncertain(self, replica):
+        """Return whether the platform may still write a proposed record."""
+        proposed = replica.proposed_version
+        return proposed is not None and self._keeper.version <= proposed
+
     def _give_up(self, replica, wanted, now):
         """Resume a frozen copy whose plan is outdated or comes to nothing."""
-        proposed = replica.proposed_version
-        if proposed is not None and self._keeper.version <= proposed:
-            # The platform may still write the proposed record.
-            return
         is_stuck = now - replica.progress_at > PREPARE_LIMIT_S
         if is_stuck and replica.chart.is_in("preparing"):
             self._counters.add("claim-transfers-given-up")
--- a/src/monsoonmill/decisions/claims_paired.py
+++ b/src/monsoonmill/decisions/claims_paired.py
@@ -70,6 +70,7 @@
     """Grants a claim once its primary and its backup hold it."""
 
     home_class = ClaimHome
+    review_class = MapReview
 
     def __init__(
         self,
@@ -86,7 +87,7 @@
         prefix = f"{own.node}/{own.incarnation}"
         self.asks = ClaimAsks(prefix, MapHomes(self.keeper), rng, counters)
         self.placement = Placement(cfg.claims, members, own)
-        self.review = MapReview(
+        self.review = self.review_class(
             cfg.claims.partitions,
             self.home,
             self.keeper,
--- a/tests/claims_fleet.py
+++ b/tests/claims_fleet.py
@@ -4,7 +4,12 @@
 
 from attrs import frozen
 
-from monsoonmill.decisions.signals import Answer, RunFailure, RunFinished
+from monsoonmill.decisions.signals import (
+    Answer,
+    DrainRequested,
+    RunFailure,
+    RunFinished,
+)
 from monsoonmill.model import HttpResponse
 from monsoonmill.reasons import Outcome
 from tests.configs import SECRET, small_config
@@ -158,3 +163,29 @@
     def check(self):
         """Fail if a promise was broken."""
         assert self.problems == []
+
+
+def key_in(fleet, partition):
+    """Return a key of a partition."""
+    claim_map = next(iter(fleet.nodes.values())).core.claims.keeper.claim_map
+    keys = (f"in-{partition}-{number}" for number in range(10_000))
+    return next(key for key in keys if claim_map.partition("branch", key) == partition)
+
+
+def wait_until_prepared(fleet):
+    """Let a backup leave until its primary is about to change the record."""
+    backup = fleet.primary_of("k").backup
+    fleet.give(fleet.nodes[backup.node], DrainRequested())
+    found = []
+
+    def find():
+        found[:] = [
+            replica
+            for node in fleet.nodes.values()
+            for replica in node.core.claims.home.replicas.values()
+            if replica.chart.is_in("prepared") and replica.is_primary
+        ]
+        return bool(found)
+
+    assert fleet.advance_until(find, step_s=0.001)
+    return found[0]
--- a/tests/test_claims_paired.py
+++ b/tests/test_claims_paired.py
@@ -2,7 +2,7 @@
 
 from monsoonmill.decisions.signals import CallerGone, DrainRequested, RunFailure
 from monsoonmill.reasons import Outcome, Reason
-from tests.claims_fleet import ClaimsFleet
+from tests.claims_fleet import ClaimsFleet, key_in, wait_until_prepared
 
 
 def ready_fleet(size=4, **options):
@@ -151,9 +151,7 @@
     fleet.kill(fleet.nodes[record.backup.node])
     fleet.advance(5)
     claim_map = nodes_of(fleet)[0].core.claims.keeper.claim_map
-    number = claim_map.partition("branch", "old")
-    keys = (f"new-{one}" for one in range(1000))
-    key = next(one for one in keys if claim_map.partition("branch", one) == number)
+    key = key_in(fleet, claim_map.partition("branch", "old"))
     new = fleet.pledge(nodes_of(fleet)[0], key)
     old = fleet.pledge(nodes_of(fleet)[1], "old")
     fleet.advance(5)
@@ -169,6 +167,23 @@
     fleet.check()
 
 
+def test_partition_serves_again_after_an_outage_cut_its_change_short():
+    fleet = ready_fleet(6, claims={"partitions": 1})
+    replica = wait_until_prepared(fleet)
+    fleet.platform.is_down = True
+    fleet.advance(3)
+    planned = replica.plan.backup.node
+    fleet.kill(fleet.nodes[planned])
+    fleet.advance(5)
+    fleet.platform.is_down = False
+    fleet.advance(15)
+    node = fleet.nodes[replica.own.node]
+    name = fleet.pledge(node, key_in(fleet, replica.partition))
+    fleet.advance(4)
+    assert fleet.answer(name).outcome is Outcome.DONE
+    fleet.check()
+
+
 def test_pair_serves_through_a_platform_outage():
     fleet = ready_fleet()
     fleet.platform.is_down = True
