--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 
 from monsoonmill.claim_messages import (
+    ClaimCopyWanted,
     ClaimMapReply,
     ClaimMapRequest,
     ClaimRedirect,
@@ -370,6 +371,7 @@
     ClaimReplicated,
     ClaimTransfer,
     ClaimTransferred,
+    ClaimCopyWanted,
     ClaimMapRequest,
     ClaimMapReply,
     SuspectReport,
--- a/tests/test_claims_paired.py
+++ b/tests/test_claims_paired.py
@@ -1,8 +1,8 @@
 """Pledges run at most once while nodes, links and the platform fail."""
 
-from monsoonmill.decisions.signals import DrainRequested, RunFailure
+from monsoonmill.decisions.signals import CallerGone, DrainRequested, RunFailure
 from monsoonmill.reasons import Outcome, Reason
-from tests.claims_fleet import ClaimsFleet
+from tests.claims_fleet import ClaimsFleet, key_in, wait_until_prepared
 
 
 def ready_fleet(size=4, **options):
@@ -112,6 +112,16 @@
     fleet.check()
 
 
+def test_call_that_is_abandoned_before_its_claim_is_known_may_have_run_earlier():
+    fleet = ready_fleet()
+    record = fleet.primary_of("k")
+    split(fleet, {record.primary.node})
+    node = next(one for one in nodes_of(fleet) if one.name != record.primary.node)
+    name = fleet.pledge(node, "k")
+    fleet.give(node, CallerGone(name))
+    assert fleet.answer(name).outcome is Outcome.UNKNOWN
+
+
 def test_partition_that_lost_both_copies_runs_nothing_until_claims_have_lapsed():
     fleet = ready_fleet(6)
     fleet.pledge(nodes_of(fleet)[0], "k")
@@ -119,13 +129,13 @@
     record = fleet.primary_of("k")
     for holder in (record.primary, record.backup):
         fleet.kill(fleet.nodes[holder.node])
-    fleet.advance(12)
+    fleet.advance(20)
     name = fleet.pledge(nodes_of(fleet)[0], "k")
     fleet.advance(4)
     assert fleet.answer(name).reason is Reason.CLAIMS_LOST
     assert fleet.answer(name).outcome is Outcome.UNKNOWN
     assert len(fleet.executed) == 1
-    fleet.advance(nodes_of(fleet)[0].core.claims.recovery_s)
+    fleet.advance(nodes_of(fleet)[0].core.claims.home.recovery_s)
     name = fleet.pledge(nodes_of(fleet)[0], "new")
     fleet.advance(4)
     assert fleet.answer(name).outcome is Outcome.DONE
@@ -141,9 +151,7 @@
     fleet.kill(fleet.nodes[record.backup.node])
     fleet.advance(5)
     claim_map = nodes_of(fleet)[0].core.claims.keeper.claim_map
-    number = claim_map.partition("branch", "old")
-    keys = (f"new-{one}" for one in range(1000))
-    key = next(one for one in keys if claim_map.partition("branch", one) == number)
+    key = key_in(fleet, claim_map.partition("branch", "old"))
     new = fleet.pledge(nodes_of(fleet)[0], key)
     old = fleet.pledge(nodes_of(fleet)[1], "old")
     fleet.advance(5)
@@ -159,6 +167,23 @@
     fleet.check()
 
 
+def test_partition_serves_again_after_an_outage_cut_its_change_short():
+    fleet = ready_fleet(6, claims={"partitions": 1})
+    replica = wait_until_prepared(fleet)
+    fleet.platform.is_down = True
+    fleet.advance(3)
+    planned = replica.plan.backup.node
+    fleet.kill(fleet.nodes[planned])
+    fleet.advance(5)
+    fleet.platform.is_down = False
+    fleet.advance(15)
+    node = fleet.nodes[replica.own.node]
+    name = fleet.pledge(node, key_in(fleet, replica.partition))
+    fleet.advance(4)
+    assert fleet.answer(name).outcome is Outcome.DONE
+    fleet.check()
+
+
 def test_pair_serves_through_a_platform_outage():
     fleet = ready_fleet()
     fleet.platform.is_down = True
@@ -170,7 +195,7 @@
 
 
 def test_resends_on_both_sides_of_a_partition_run_once():
-    fleet = ready_fleet(6)
+    fleet = ready_fleet(6, claims={"retention_s": 900})
     record = fleet.primary_of("k")
     alone = {record.primary.node}
     split(fleet, alone)
@@ -183,7 +208,7 @@
     names += [fleet.pledge(node, "k") for node in nodes_of(fleet)]
     fleet.advance(10)
     assert len(fleet.executed) == 1
-    assert fleet.answer(names[-1]).outcome is not Outcome.NOT_RUN
+    assert fleet.answer(names[-1]).outcome is Outcome.DONE
     fleet.check()
 
 
@@ -192,7 +217,7 @@
     record = fleet.primary_of("k")
     pair = {record.primary.node, record.backup.node}
     split(fleet, pair)
-    recovery_s = nodes_of(fleet)[0].core.claims.recovery_s
+    recovery_s = nodes_of(fleet)[0].core.claims.home.recovery_s
     inside = [node for node in nodes_of(fleet) if node.name in pair]
     outside = [node for node in nodes_of(fleet) if node.name not in pair]
     fleet.hides_platform_from |= pair
@@ -235,7 +260,7 @@
     assert {one.reason for one in refused} == {Reason.CLAIMS_FULL}
     assert {one.outcome for one in refused} == {Outcome.NOT_RUN}
     for node in nodes_of(fleet):
-        assert len(node.core.claims.table) <= 6
+        assert len(node.core.claims.home.table) <= 6
     fleet.check()
 
 
