Refuse bodies and frames that are cut short or misstated

Cause: the front end took whatever body came before the caller ended its side, so a pledge of Content-Length 100 with 10 bytes ran and answered 200; Content-Length -1 read until the end of the connection without a limit, and ran too; a malformed chunk was a 500 without a reason. A peer stream that ended within a frame left no trace. Errors of the front end were counted but logged nowhere.

Ruled out: a limit in cheroot (it checks the length's upper bound only).

Now each has a type, a counter and, towards callers, 400 with not-run; a reader's finish() tells a cut frame. cheroot's errors are logged.

--- a/src/monsoonmill/codec.py
+++ b/src/monsoonmill/codec.py
@@ -22,6 +22,16 @@
             The stream is unusable from here on and must be closed.
         """
 
+    @abstractmethod
+    def finish(self) -> None:
+        """Take the end of the stream.
+
+        Raises
+        ------
+        TruncatedFrameError
+            The stream ended within a frame.
+        """
+
 
 class Codec(ABC):
     """Encodes a closed set of ``attrs`` classes."""
--- a/src/monsoonmill/codec_msgpack.py
+++ b/src/monsoonmill/codec_msgpack.py
@@ -11,6 +11,7 @@
 from monsoonmill.errors import (
     FrameTooLargeError,
     MalformedMessageError,
+    TruncatedFrameError,
     UnknownMessageError,
 )
 
@@ -63,6 +64,7 @@
         self._unpacker = Unpacker(
             raw=False, max_buffer_size=max_frame_bytes, strict_map_key=True
         )
+        self._fed_bytes = 0
 
     def feed(self, data: bytes) -> Iterator[object]:
         """Yield the messages that ``data`` completes."""
@@ -71,6 +73,7 @@
         except BufferFull as exc:
             limit = self._max_frame_bytes
             raise FrameTooLargeError(f"a frame exceeds {limit} bytes") from exc
+        self._fed_bytes += len(data)
         while True:
             try:
                 frame = next(self._unpacker)
@@ -79,3 +82,9 @@
             except (FormatError, StackError, ExtraData, ValueError, TypeError) as exc:
                 raise MalformedMessageError("bytes are no msgpack") from exc
             yield self._codec.structure(frame)
+
+    def finish(self) -> None:
+        """Take the end of the stream."""
+        left = self._fed_bytes - self._unpacker.tell()
+        if left:
+            raise TruncatedFrameError(f"the stream ended {left} bytes into a frame")
--- a/src/monsoonmill/errors.py
+++ b/src/monsoonmill/errors.py
@@ -60,6 +60,10 @@
     """A frame exceeds the size limit of its stream."""
 
 
+class TruncatedFrameError(ProtocolError):
+    """A stream ended within a frame."""
+
+
 class UnknownMessageError(ProtocolError):
     """A frame names a message type that this version does not know."""
 
--- a/src/monsoonmill/node/peers.py
+++ b/src/monsoonmill/node/peers.py
@@ -15,7 +15,7 @@
     PeerUp,
     Received,
 )
-from monsoonmill.errors import ProtocolError
+from monsoonmill.errors import ProtocolError, TruncatedFrameError
 from monsoonmill.eventlog import get_logger
 from monsoonmill.messages import Hello
 from monsoonmill.model import Address
@@ -219,7 +219,8 @@
 
     def _message(self, stream, message):
         if isinstance(message, ProtocolError):
-            self._counters.add("bad-frames")
+            is_cut = isinstance(message, TruncatedFrameError)
+            self._counters.add("cut-frames" if is_cut else "bad-frames")
             log.warning("bad_frame", peer=stream.address, error=type(message).__name__)
         else:
             yield Received(stream.node, message)
--- a/src/monsoonmill/node/stream.py
+++ b/src/monsoonmill/node/stream.py
@@ -195,18 +195,22 @@
         except BlockingIOError:
             return
         except OSError:
-            data = b""
-        if not data:
             self.chart.send("broken")
             return
         self.last_heard = now
         try:
-            for message in self._reader.feed(data):
-                self._take(message, now)
+            self._take_all(data, now)
         except ProtocolError as exc:
             self.events.append(StreamMessage(self, exc))
             self.chart.send("broken")
 
+    def _take_all(self, data, now):
+        for message in self._reader.feed(data):
+            self._take(message, now)
+        if not data:
+            self._reader.finish()
+            self.chart.send("broken")
+
     def _take(self, message, now):
         cls = type(message)
         if cls is Hello:
--- a/src/monsoonmill/node/web.py
+++ b/src/monsoonmill/node/web.py
@@ -4,14 +4,21 @@
 from http import HTTPStatus
 from io import BytesIO
 from json import dumps
+from traceback import format_exc
 
 from attrs import field, frozen
 from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
 from monsoonmill.counters import Counters
+from monsoonmill.eventlog import get_logger
+from monsoonmill.node.bodies import BodyError, read_body
+from monsoonmill.node.headers import OUTCOME, REASON
 from monsoonmill.node.socket_files import open_socket_file
+from monsoonmill.reasons import HTTP_STATUS, Outcome
 from monsoonmill.settings import HttpSettings
 
+log = get_logger("web")
+
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
 QUEUE_LENGTH = 1024
@@ -121,7 +128,12 @@
 
     def respond(self):
         """Answer one request."""
-        response = self.req.server.app.respond(self._read(), self.req)
+        try:
+            response = self.req.server.app.respond(self._read(), self.req)
+        except BodyError as exc:
+            self.req.server.counters.add(exc.reason)
+            self.req.close_connection = True
+            response = refuse_body(exc)
         if response is None:
             self.req.close_connection = True
             return
@@ -133,11 +145,8 @@
             (name.decode("latin-1").lower(), value.decode("latin-1"))
             for name, value in req.inheaders.items()
         )
-        has_body = b"Content-Length" in req.inheaders or req.chunked_read
-        body = req.rfile.read() if has_body else b""
-        return WebRequest(
-            req.method.decode("latin-1"), req.uri.decode("latin-1"), headers, body
-        )
+        method, uri = req.method.decode("latin-1"), req.uri.decode("latin-1")
+        return WebRequest(method, uri, headers, read_body(req))
 
     def _write(self, response):
         req = self.req
@@ -152,6 +161,15 @@
         req.write_whole(b"" if req.method == b"HEAD" else response.body)
 
 
+def refuse_body(error: BodyError) -> WebResponse:
+    """Return the response to a request whose body can't be read."""
+    reason, outcome = error.reason, Outcome.NOT_RUN.value
+    problem = Problem(
+        HTTP_STATUS[reason], reason.value, str(error), {"outcome": outcome}
+    )
+    return problem.response(((OUTCOME, outcome), (REASON, reason.value)))
+
+
 def _phrase(status):
     try:
         return HTTPStatus(status).phrase
@@ -195,5 +213,7 @@
         return self.bind_addr[1]
 
     def error_log(self, msg="", level=20, traceback=False):
-        """Count what cheroot reports instead of printing it."""
+        """Count and log what cheroot reports."""
         self.counters.add("http-errors")
+        trace = format_exc() if traceback else ""
+        log.warning("http_error", problem=str(msg), trace=trace)
