--- a/tests/integration/load.py
+++ b/tests/integration/load.py
@@ -17,6 +17,7 @@
 
 CALLER_TIMEOUT_S = 12.0
 CALL_TIMEOUT_MS = 8000
+TRY_HEADER = "X-Try"
 CLOCK = SystemClock()
 
 
@@ -42,13 +43,14 @@
 
 @frozen
 class Sent:
-    """One call and its end, as its caller saw it."""
+    """One try of a call and its end, as its caller saw it."""
 
     id: str
     kind: str
     host: str
     sent_at: float
     ended_at: float
+    number: int
     status: int = 0
     outcome: str = ""
     reason: str = ""
@@ -80,19 +82,20 @@
             self._send(kind, next(self._names))
 
     def _send(self, kind, name):
-        for _ in range(1 + self._plan.resends):
-            sent = self._try(kind, name)
+        for number in range(1 + self._plan.resends):
+            sent = self._try(kind, name, number)
             self._report(sent)
             is_clear = sent.is_done or sent.reason == "duplicate"
             if kind != "pledges" or is_clear:
                 return
 
-    def _try(self, kind, name):
+    def _try(self, kind, name, number):
         host = self._fleet.hosts[self._home % len(self._fleet.hosts)]
         headers = {
             "Authorization": f"Bearer {SECRETS['branch']}",
             "Monsoon-Timeout-Ms": str(CALL_TIMEOUT_MS),
             ID_HEADER: name,
+            TRY_HEADER: str(number),
         }
         if self._plan.resends and kind == "pledges":
             headers["Idempotency-Key"] = name
@@ -107,7 +110,13 @@
             self._home += 1
             refused = isinstance(exc, NewConnectionError)
             return Sent(
-                name, kind, host.name, sent_at, CLOCK.now(), refused_connection=refused
+                name,
+                kind,
+                host.name,
+                sent_at,
+                CLOCK.now(),
+                number,
+                refused_connection=refused,
             )
         return Sent(
             name,
@@ -115,6 +124,7 @@
             host.name,
             sent_at,
             CLOCK.now(),
+            number,
             response.status,
             response.headers.get("Monsoon-Outcome", ""),
             response.headers.get("Monsoon-Reason", ""),
@@ -178,6 +188,15 @@
     def __attrs_post_init__(self):
         self.runs = Counter(one["id"] for one in self.executions)
 
+    def cut_off(self):
+        """Return tries that ran and whose callers got no answer."""
+        ran = {(one["id"], one["headers"].get("x-try")) for one in self.executions}
+        return [
+            one
+            for one in self.sent
+            if one.outcome in ("", "unknown") and (one.id, str(one.number)) in ran
+        ]
+
     def pledges_run_twice(self):
         return {
             one["id"]: self.runs[one["id"]]
--- /dev/null
+++ b/tests/integration/test_leaving.py
@@ -0,0 +1,77 @@
+"""Graceful shutdown of nodes and backend servers under load."""
+
+from time import time
+
+import pytest
+from pytest_bdd import parsers, scenarios, then, when
+
+pytestmark = pytest.mark.integration
+scenarios("../features/leaving.feature")
+
+NO_NEW_WORK_S = 3.0
+EXIT_S = 15.0
+
+
+@when("a node is told to end", target_fixture="leaving")
+def drain_node(world):
+    world.note_fault(world.fleet.hosts[1])
+    world.victim.node.drain()
+    return world.victim.node, time()
+
+
+@when("a backend server is told to end", target_fixture="leaving")
+def drain_backend(world):
+    world.note_fault(world.fleet.hosts[1])
+    world.victim.backend.drain()
+    return world.victim.backend, time()
+
+
+@then(parsers.parse("its process ends with status 0 within {limit:d} seconds"))
+def ends(world, leaving, limit):
+    process, _ = leaving
+    assert process.popen.wait(limit) == 0
+
+
+@then("its backend server got no new work later than 3 seconds after")
+def no_new_work(world, leaving):
+    _, told_at = leaving
+    world.load.await_more(150)
+    late = [
+        one
+        for one in world.fleet.executions()
+        if one["host"] == world.victim.name
+        and one["started_s"] > told_at + NO_NEW_WORK_S
+    ]
+    assert late == []
+
+
+@then("nothing was cut off")
+def nothing_cut_off(world):
+    oracle = world.oracle()
+    assert [one for one in oracle.executions if not one["finished"]] == []
+    assert [one for one in oracle.sent if one.outcome == "unknown"] == []
+    assert oracle.cut_off() == []
+
+
+@when("each node is replaced in turn")
+def replace_all(world):
+    for host in world.fleet.hosts:
+        host.is_down = True
+        host.node.drain()
+        assert host.node.popen.wait(EXIT_S) == 0
+        world.fleet.start_node(host)
+        world.fleet.await_known()
+        world.load.await_more(50)
+
+
+@then("the revision in force is the same at all nodes")
+def same_revision(world):
+    world.fleet.await_revision(1, EXIT_S)
+
+
+@then("every pledge was recorded")
+def all_recorded(world):
+    sent = world.load.stop()
+    done = {one.id for one in sent if one.is_done}
+    asked = {one.id for one in sent if one.kind == "pledges"}
+    assert asked - done == set()
