--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -132,6 +132,7 @@
     stopped.wait()
     node.drain()
     node.stop()
+    log.info("ended", node=node.core.node)
 
 
 def main() -> None:
