Admit calls by a measured limit, a fair queue and a bound at the front door

Admission took everything (policy "all"). The default "adaptive" limits the calls at a backend server by the ratio of latency to each route's baseline, lets the others wait in a bounded queue (importance, organisation, age), refuses what can't end in time before it runs, and tells the lowest class admitted in each reply. "fixed" keeps the limit constant. The front door bounds the calls in progress by class, so that lookups leave threads free.

Slots of aborted runs whose end is never told come back after the grace time.

--- /dev/null
+++ b/src/monsoonmill/decisions/admission_queued.py
@@ -0,0 +1,223 @@
+"""Admission with a concurrency limit and a bounded, fair queue."""
+
+from attrs import frozen
+
+from monsoonmill.decisions.admission import Admission
+from monsoonmill.decisions.admission_level import AdmissionLevel
+from monsoonmill.decisions.concurrency_limit import (
+    AdaptiveLimit,
+    ConcurrencyLimit,
+    FixedLimit,
+    RunEnd,
+    RunSample,
+)
+from monsoonmill.decisions.fair_queue import FairQueue, QueuedCall
+from monsoonmill.decisions.signals import (
+    Admitted,
+    BackendAnnounced,
+    NotAdmitted,
+    SlotReleased,
+)
+from monsoonmill.decisions.timers import Timers
+from monsoonmill.messages import Load
+from monsoonmill.reasons import Importance, Reason
+from monsoonmill.settings import AdmissionSettings
+
+RETRY_AFTER_S = 1.0
+"""When another try of a refused call may succeed."""
+
+
+@frozen
+class RunningCall:
+    """An attempt that holds a slot.
+
+    Attributes
+    ----------
+    running : int
+        Attempts that held one when it started, itself included.
+    """
+
+    route: str
+    importance: Importance
+    started_at: float
+    running: int
+
+
+class QueuedAdmission(Admission):
+    """Gives slots up to a limit; what finds none waits in order of worth.
+
+    An attempt is refused before it runs when its deadline is nearer than its
+    route's usual latency, or when it has waited for too long.
+    """
+
+    def __init__(self, cfg: AdmissionSettings, limit: ConcurrencyLimit):
+        self._cfg = cfg
+        self._limit = limit
+        self._queue = FairQueue(cfg.queue_length)
+        self._level = AdmissionLevel()
+        self._running: dict[str, RunningCall] = {}
+        self._background = 0
+        self._timers = Timers()
+
+    @classmethod
+    def adaptive(cls, cfg: AdmissionSettings) -> "QueuedAdmission":
+        """Return one whose limit follows the measured delay."""
+        return cls(cfg, AdaptiveLimit(cfg))
+
+    @classmethod
+    def fixed(cls, cfg: AdmissionSettings) -> "QueuedAdmission":
+        """Return one whose limit stays at the initial one."""
+        return cls(cfg, FixedLimit(cfg.initial_limit))
+
+    def handlers(self):
+        """Return the handlers of this decision."""
+        own = {BackendAnnounced: self.on_backend_announced}
+        return {**super().handlers(), **own}
+
+    def on_backend_announced(self, signal: BackendAnnounced, now: float):
+        """Take the announced number of slots as a hint."""
+        self._limit.note_announced(signal.slots)
+        yield from self._admit_waiting(now)
+
+    def on_admit_call(self, signal, now):
+        """Queue an attempt and give slots to those that are due."""
+        call = QueuedCall(
+            signal.attempt,
+            signal.route,
+            signal.organisation,
+            signal.importance,
+            signal.deadline,
+            now,
+        )
+        if self._is_hopeless(call, now):
+            yield NotAdmitted(call.attempt, Reason.DEADLINE, 0.0)
+            return
+        if self._may_run(call.importance):
+            yield self._start(call, now)
+            return
+        if len(self._running) >= self._limit.limit:
+            self._limit.note_full()
+        refused = self._queue.offer(call)
+        if refused is not call:
+            self._timers.set(call.attempt, self._last_start(call, now))
+        if refused is not None:
+            yield self._refuse(refused, Reason.QUEUE_FULL, now)
+        yield from self._admit_waiting(now)
+
+    def on_leave_queue(self, signal, now):
+        """Forget an attempt that waits, or take its slot back."""
+        self._timers.cancel(signal.attempt)
+        if self._queue.remove(signal.attempt) is None:
+            self._free(signal.attempt)
+        yield from self._admit_waiting(now)
+
+    def on_slot_released(self, signal, now):
+        """Take a slot back and give it to the next attempt."""
+        run = self._free(signal.attempt)
+        if run is not None:
+            sample = RunSample(
+                run.route,
+                run.started_at,
+                signal.latency_s,
+                run.running,
+                _run_end(signal),
+            )
+            self._limit.note_run(sample, now)
+        yield from self._admit_waiting(now)
+
+    def next_due(self):
+        """Return when the next attempt has waited for too long."""
+        return self._timers.next_due()
+
+    def tick(self, now):
+        """Refuse the attempts that can no longer be run in time."""
+        for attempt in self._timers.pop_due(now):
+            call = self._queue.remove(attempt)
+            if call is not None:
+                is_hopeless = self._is_hopeless(call, now)
+                reason = Reason.DEADLINE if is_hopeless else Reason.SHED
+                yield self._refuse(call, reason, now)
+        yield from self._admit_waiting(now)
+
+    def load(self):
+        """Return the load to tell others of."""
+        return Load(
+            running=len(self._running),
+            waiting=len(self._queue),
+            limit=max(self._limit.limit, 1),
+            level=self._level.level,
+        )
+
+    def _admit_waiting(self, now):
+        while self._queue:
+            lowest = self._lowest_runnable()
+            call = None if lowest is None else self._queue.pop(lowest)
+            if call is None:
+                return
+            self._timers.cancel(call.attempt)
+            if self._is_hopeless(call, now):
+                yield self._refuse(call, Reason.DEADLINE, now)
+            else:
+                yield self._start(call, now)
+        self._level.note_idle()
+
+    def _lowest_runnable(self):
+        """Return the lowest class that may have a slot now; None for none."""
+        return next((one for one in Importance if self._may_run(one)), None)
+
+    def _may_run(self, importance):
+        limit = self._limit.limit
+        if len(self._running) >= limit:
+            return False
+        if importance is not Importance.BACKGROUND:
+            return True
+        return self._background < max(limit * self._cfg.background_share, 1)
+
+    def _start(self, call, now):
+        running = len(self._running) + 1
+        self._running[call.attempt] = RunningCall(
+            call.route, call.importance, now, running
+        )
+        self._background += call.importance is Importance.BACKGROUND
+        self._queue.charge(call)
+        self._level.note_admitted(call.importance, now)
+        return Admitted(call.attempt)
+
+    def _free(self, attempt):
+        run = self._running.pop(attempt, None)
+        if run is not None:
+            self._background -= run.importance is Importance.BACKGROUND
+        return run
+
+    def _refuse(self, call, reason, now):
+        self._timers.cancel(call.attempt)
+        if reason is not Reason.DEADLINE:
+            self._level.note_refused(call.importance, now)
+        return NotAdmitted(call.attempt, reason, RETRY_AFTER_S)
+
+    def _is_hopeless(self, call, now):
+        return call.deadline - now <= self._limit.usual_s(call.route, now)
+
+    def _last_start(self, call, now):
+        """Return when an attempt has waited for too long."""
+        usual_s = self._limit.usual_s(call.route, now)
+        return min(call.deadline - usual_s, now + self._cfg.queue_ms / 1000)
+
+    def status(self):
+        """Return the limit, the load and the admission level."""
+        load = self.load()
+        return {
+            **self._limit.status(),
+            "running": load.running,
+            "waiting": load.waiting,
+            "level": load.level.name.lower(),
+        }
+
+
+def _run_end(signal: SlotReleased) -> RunEnd:
+    """Return what a run's end says of the backend server's load."""
+    if signal.shed:
+        return RunEnd.SHED
+    if signal.timed_out:
+        return RunEnd.CUT_OFF
+    return RunEnd.FAILED if signal.failed else RunEnd.ANSWERED
--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -13,6 +13,7 @@
 )
 from monsoonmill.decisions.contexts import ContextTable
 from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.front_door import FrontDoor
 from monsoonmill.decisions.poison import PoisonGuard
 from monsoonmill.decisions.retries import RetryLimiter
 from monsoonmill.decisions.routing import Router
@@ -253,6 +254,7 @@
         router: Router,
         contexts: ContextTable,
         poison: PoisonGuard,
+        front_door: FrontDoor,
         counters: Counters,
     ):
         self.cfg = cfg
@@ -265,6 +267,7 @@
         self._router = router
         self._contexts = contexts
         self._poison = poison
+        self._front_door = front_door
         self._numbers = count(1)
         self._calls: dict[str, Call] = {}
         self._attempts: dict[str, Call] = {}
@@ -341,7 +344,11 @@
             raise RefusedError(Reason.POISON)
         if context.deadline <= now:
             raise RefusedError(Reason.DEADLINE)
-        tries = self._contexts.take_tries(arrival.context) if arrival.context else None
+        is_nested = bool(arrival.context)
+        self._front_door.enter(context.importance, is_nested)
+        tries = self.cfg.call.tries
+        if is_nested:
+            tries = self._contexts.take_tries(arrival.context)
         return Call(
             arrival,
             route,
@@ -351,7 +358,7 @@
             self,
             now,
             parent=arrival.context,
-            tries=self.cfg.call.tries if tries is None else tries,
+            tries=tries,
         )
 
     def _root_context(self, arrival, route, caller, now):
@@ -518,6 +525,7 @@
     def _finish(self, call, answer, now):
         del self._calls[call.name]
         self._timers.cancel(call.name)
+        self._front_door.leave(call.context.importance, bool(call.parent))
         if call.parent:
             self._contexts.return_tries(call.parent, call.tries)
         if answer.reason is not None:
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -17,6 +17,7 @@
 from monsoonmill.decisions.policies import (
     make_admission,
     make_claims,
+    make_front_door,
     make_health,
     make_poison,
     make_quota,
@@ -76,6 +77,7 @@
             self.router,
             self.contexts,
             self.poison,
+            make_front_door(cfg),
             self.counters,
         )
         self.executions = Executions(
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -33,6 +33,7 @@
 
 NOT_RUN_HEADER = "monsoon-outcome"
 SHED_STATUS = 503
+ERROR_STATUS = 500
 ABORT_GRACE_S = 5.0
 """An aborted run that does not end within this time is given up."""
 
@@ -107,6 +108,7 @@
     def abort(self, arg):
         """Stop the request at the backend server."""
         self.out.append(AbortRun(self.forward.attempt))
+        self.executions.set_timer(self.forward.attempt, self.now + ABORT_GRACE_S)
         self._close_context()
 
     def abort_and_reply_expired(self, arg):
@@ -114,17 +116,23 @@
         self.abort(arg)
         self._reply(Outcome.UNKNOWN, Reason.DEADLINE)
 
+    def give_up(self, arg):
+        """Give the slot back of a request whose end was never told."""
+        self.release_slot(RunFinished(self.forward.attempt, None, RunFailure.TIMED_OUT))
+
     def release_slot(self, finished: RunFinished):
         """Give the slot back."""
         self._close_context()
         failure = finished.failure
         response = finished.response
+        is_cut_off = failure in (RunFailure.TIMED_OUT, RunFailure.ABORTED)
         self.out.append(
             SlotReleased(
                 self.forward.attempt,
                 self.now - self.started_at,
                 shed=response is not None and response.status == SHED_STATUS,
-                timed_out=failure in (RunFailure.TIMED_OUT, RunFailure.ABORTED),
+                timed_out=is_cut_off,
+                failed=response is None or response.status >= ERROR_STATUS,
             )
         )
 
@@ -218,6 +226,10 @@
         for attempt in self._timers.pop_due(now):
             yield from self._send(attempt, "expire", now)
 
+    def set_timer(self, attempt: str, due: float) -> None:
+        """Let an attempt's chart get ``expire`` at a time."""
+        self._timers.set(attempt, due)
+
     def on_backend_announced(self, signal, now):
         """Remember where the backend server listens."""
         self.backend_address = signal.address
--- /dev/null
+++ b/src/monsoonmill/decisions/fair_queue.py
@@ -0,0 +1,158 @@
+"""Bounded queue ordered by importance, then fairly by organisation, then age.
+
+Within a class each organisation gets an equal number of slots while it has
+calls waiting: start-time fair queueing with one unit of work a call.
+"""
+
+from collections import OrderedDict
+
+from attrs import define, field
+
+from monsoonmill.reasons import Importance
+
+
+@define(eq=False)
+class QueuedCall:
+    """An attempt that waits for a slot."""
+
+    attempt: str
+    route: str
+    organisation: str
+    importance: Importance
+    deadline: float
+    queued_at: float
+
+
+@define
+class ClassQueue:
+    """Waiting attempts of one importance class.
+
+    Attributes
+    ----------
+    finish_tags : dict
+        Virtual time up to which an organisation has had its share; only those
+        ahead of the present virtual time are kept.
+    """
+
+    waiting: dict[str, OrderedDict[str, QueuedCall]] = field(factory=dict)
+    finish_tags: dict[str, float] = field(factory=dict)
+    virtual_time: float = 0.0
+
+    def push(self, call: QueuedCall) -> None:
+        """Append an attempt."""
+        queue = self.waiting.setdefault(call.organisation, OrderedDict())
+        queue[call.attempt] = call
+
+    def remove(self, call: QueuedCall) -> None:
+        """Take an attempt out."""
+        queue = self.waiting[call.organisation]
+        del queue[call.attempt]
+        if not queue:
+            del self.waiting[call.organisation]
+
+    def first(self) -> QueuedCall | None:
+        """Return the oldest attempt of the organisation that is due."""
+        if not self.waiting:
+            return None
+        heads = (next(iter(queue.values())) for queue in self.waiting.values())
+        return min(heads, key=self._order)
+
+    def _order(self, call):
+        return self._start_tag(call.organisation), call.queued_at
+
+    def _start_tag(self, organisation):
+        return max(self.finish_tags.get(organisation, 0.0), self.virtual_time)
+
+    def charge(self, organisation: str) -> None:
+        """Note that an organisation was given a slot."""
+        self.virtual_time = self._start_tag(organisation)
+        self.finish_tags[organisation] = self.virtual_time + 1
+        self.finish_tags = {
+            name: tag
+            for name, tag in self.finish_tags.items()
+            if tag > self.virtual_time
+        }
+
+    def newest_of_longest(self) -> QueuedCall:
+        """Return the newest attempt of the organisation with the most."""
+        longest = max(self.waiting.values(), key=len)
+        return next(reversed(longest.values()))
+
+    def waiting_of(self, organisation: str) -> int:
+        """Return how many attempts of an organisation wait."""
+        return len(self.waiting.get(organisation, ()))
+
+
+class FairQueue:
+    """Attempts that wait for a slot.
+
+    Parameters
+    ----------
+    max_length : int
+        Attempts that may wait.
+    """
+
+    def __init__(self, max_length: int):
+        self._max_length = max_length
+        self._classes = {one: ClassQueue() for one in Importance}
+        self._calls: dict[str, QueuedCall] = {}
+
+    def __len__(self):
+        return len(self._calls)
+
+    def __contains__(self, attempt):
+        return attempt in self._calls
+
+    def offer(self, call: QueuedCall) -> QueuedCall | None:
+        """Append an attempt; return the one that finds no room, if any."""
+        if len(self._calls) < self._max_length:
+            self._push(call)
+            return None
+        victim = self._victim(call)
+        if victim is not call:
+            self.remove(victim.attempt)
+            self._push(call)
+        return victim
+
+    def _push(self, call):
+        self._calls[call.attempt] = call
+        self._classes[call.importance].push(call)
+
+    def _victim(self, call):
+        """Return which attempt gives way when there is one too many."""
+        lowest = next((one for one in Importance if self._classes[one].waiting), None)
+        if lowest is None or call.importance < lowest:
+            return call
+        victim = self._classes[lowest].newest_of_longest()
+        if call.importance > lowest:
+            return victim
+        queue = self._classes[lowest]
+        is_shorter = queue.waiting_of(call.organisation) + 1 < queue.waiting_of(
+            victim.organisation
+        )
+        return victim if is_shorter else call
+
+    def remove(self, attempt: str) -> QueuedCall | None:
+        """Take an attempt out, if it waits."""
+        call = self._calls.pop(attempt, None)
+        if call is not None:
+            self._classes[call.importance].remove(call)
+        return call
+
+    def pop(self, lowest: Importance) -> QueuedCall | None:
+        """Take out the next attempt of at least an importance."""
+        for importance in reversed(Importance):
+            if importance < lowest:
+                return None
+            call = self._classes[importance].first()
+            if call is not None:
+                return self.remove(call.attempt)
+        return None
+
+    def charge(self, call: QueuedCall) -> None:
+        """Note that an attempt was given a slot."""
+        self._classes[call.importance].charge(call.organisation)
+
+    def has_waiting(self, importance: Importance) -> bool:
+        """Return whether an attempt of a class waits."""
+        return bool(self._classes[importance].waiting)
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -4,8 +4,10 @@
 
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission import Admission, AdmitAll
+from monsoonmill.decisions.admission_queued import QueuedAdmission
 from monsoonmill.decisions.claims import Claims, NoClaims
 from monsoonmill.decisions.configuration import ConfigView
+from monsoonmill.decisions.front_door import FrontDoor, OpenDoor, ThreadDoor
 from monsoonmill.decisions.health import AllHealthy, Health
 from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.poison import NoPoison, PoisonGuard
@@ -33,7 +35,18 @@
 
 def make_admission(cfg: Settings) -> Admission:
     """Return the part that gives out slots."""
-    return AdmitAll()
+    if cfg.policy.admission == "all":
+        return AdmitAll()
+    if cfg.policy.admission == "fixed":
+        return QueuedAdmission.fixed(cfg.admission)
+    return QueuedAdmission.adaptive(cfg.admission)
+
+
+def make_front_door(cfg: Settings) -> FrontDoor:
+    """Return the bound on the calls in progress at this node."""
+    if cfg.policy.front_door == "open":
+        return OpenDoor()
+    return ThreadDoor(cfg.http)
 
 
 def make_health(cfg: Settings) -> Health:
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -207,12 +207,17 @@
         Time at the backend server.
     shed : bool
         Whether the backend server refused it for overload.
+    timed_out : bool
+        Whether it was cut off before its answer.
+    failed : bool
+        Whether it ended in an error, so that its latency tells nothing.
     """
 
     attempt: str
     latency_s: float
     shed: bool
     timed_out: bool
+    failed: bool = False
 
 
 @frozen
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -92,7 +92,8 @@
 
     quota: str = field(validator=in_(("unlimited",)))
     claims: str = field(validator=in_(("none",)))
-    admission: str = field(validator=in_(("all",)))
+    admission: str = field(validator=in_(("adaptive", "fixed", "all")))
+    front_door: str = field(validator=in_(("threads", "open")))
     health: str = field(validator=in_(("none",)))
     poison: str = field(validator=in_(("none",)))
 
@@ -113,6 +114,7 @@
     """Limits of the HTTP front ends."""
 
     crew_threads: int = _count()
+    reserved_threads: int = _count(0)
     idle_connection_s: int = _count()
     max_header_bytes: int = _count(1024)
     max_body_bytes: int = _count(1024)
--- /dev/null
+++ b/tests/admission_oracle.py
@@ -0,0 +1,81 @@
+"""Drives an admission decision and checks what must hold after each step."""
+
+from collections import Counter
+
+from monsoonmill.decisions.signals import (
+    AdmitCall,
+    Admitted,
+    LeaveQueue,
+    NotAdmitted,
+    SlotReleased,
+)
+
+
+class AdmissionOracle:
+    """Remembers each attempt's fate; any broken promise is an AssertionError."""
+
+    def __init__(self, admission, background_share=0.5):
+        self.admission = admission
+        self.background_share = background_share
+        self.now = 100.0
+        self.waiting = {}
+        self.running = {}
+        self.answered = Counter()
+        self.refused = {}
+
+    def admit(self, attempt, importance, organisation="a", timeout_s=5.0, route="r"):
+        call = AdmitCall(attempt, route, organisation, importance, self.now + timeout_s)
+        self.waiting[attempt] = call
+        self._take(self.admission.on_admit_call(call, self.now))
+
+    def leave(self, attempt):
+        self.answered[attempt] += attempt in self.waiting
+        self.waiting.pop(attempt, None)
+        self.running.pop(attempt, None)
+        self._take(self.admission.on_leave_queue(LeaveQueue(attempt), self.now))
+
+    def release(self, attempt, latency_s=0.01, shed=False, timed_out=False):
+        del self.running[attempt]
+        released = SlotReleased(attempt, latency_s, shed, timed_out)
+        self._take(self.admission.on_slot_released(released, self.now))
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while (due := self.admission.next_due()) is not None and due <= end:
+            self.now = max(due, self.now)
+            self._take(self.admission.tick(self.now))
+        self.now = end
+
+    def _take(self, produced):
+        before = self.admission.load().limit
+        for signal in produced:
+            call = self.waiting.pop(signal.attempt, None)
+            assert call is not None, "an answer for an attempt that does not wait"
+            self.answered[signal.attempt] += 1
+            if isinstance(signal, Admitted):
+                self._check_order(call)
+                self.running[signal.attempt] = call
+                assert len(self.running) <= max(self.admission.load().limit, before)
+                self._check_background()
+            else:
+                assert isinstance(signal, NotAdmitted)
+                self.refused[signal.attempt] = signal.reason
+        self._check_load()
+
+    def _check_order(self, call):
+        assert call.deadline > self.now, "an attempt whose time is up was started"
+        ahead = [
+            one for one in self.waiting.values() if one.importance > call.importance
+        ]
+        assert not ahead, "a less important attempt went first"
+
+    def _check_background(self):
+        counts = Counter(one.importance for one in self.running.values())
+        most = max(self.admission.load().limit * self.background_share, 1)
+        assert counts[0] <= most + 1, "background work holds too many slots"
+
+    def _check_load(self):
+        load = self.admission.load()
+        assert load.running == len(self.running), "slots were lost or made up"
+        assert load.waiting == len(self.waiting), "attempts were lost"
+        assert all(count == 1 for count in self.answered.values())
--- /dev/null
+++ b/tests/test_admission_limit.py
@@ -0,0 +1,103 @@
+"""How the concurrency limit follows the measured delay."""
+
+from monsoonmill.decisions.concurrency_limit import AdaptiveLimit, RunEnd, RunSample
+from monsoonmill.settings import Settings
+
+CFG = Settings.from_dict({}).admission
+
+
+class LimitDriver:
+    """Feeds a limit with runs of a server whose latency is a function."""
+
+    def __init__(self, latency, hint=0):
+        self.limit = AdaptiveLimit(CFG)
+        self.limit.note_announced(hint)
+        self.latency = latency
+        self.now = 100.0
+
+    def run(self, seconds, end=RunEnd.ANSWERED, route="r", share=1.0):
+        limits = []
+        stop = self.now + seconds
+        while self.now < stop:
+            running = max(int(self.limit.limit * share), 1)
+            latency_s = self.latency(running)
+            started, self.now = self.now, self.now + latency_s
+            for _ in range(running):
+                if share == 1.0:
+                    self.limit.note_full()
+                sample = RunSample(route, started, latency_s, running, end)
+                self.limit.note_run(sample, self.now)
+            limits.append(self.limit.limit)
+        return limits
+
+
+def crowded(slots, base_s=0.05):
+    return lambda running: base_s * max(1.0, running / slots)
+
+
+def test_limit_settles_near_the_slots_whatever_was_announced():
+    for hint in (0, 10, 40, 400):
+        driver = LimitDriver(crowded(40), hint)
+        driver.run(30)
+        limits = driver.run(30)
+        assert 40 <= sum(limits) / len(limits) <= 100, hint
+
+
+def test_limit_shrinks_when_the_backend_server_loses_slots():
+    driver = LimitDriver(crowded(60))
+    driver.run(20)
+    driver.latency = crowded(10)
+    driver.run(10)
+    assert driver.limit.limit <= 30
+
+
+def test_latency_that_no_smaller_limit_cures_does_not_starve_the_server():
+    driver = LimitDriver(crowded(40))
+    before = driver.run(20)[-1]
+    driver.latency = lambda running: crowded(40)(running) * 4
+    limits = driver.run(20)
+    assert limits[-1] >= before / 3
+    assert min(limits) >= 8
+
+
+def test_slow_route_is_not_taken_for_overload():
+    driver = LimitDriver(crowded(40))
+    driver.run(10, share=0.5)
+    before = driver.limit.limit
+    driver.latency = lambda running: 1.0
+    driver.run(20, route="download", share=0.5)
+    assert driver.limit.limit >= before
+
+
+def test_refusals_of_the_backend_server_shrink_the_limit():
+    driver = LimitDriver(crowded(40))
+    before = driver.run(10)[-1]
+    driver.run(2, end=RunEnd.SHED)
+    assert driver.limit.limit < before / 2
+
+
+def test_errors_that_come_fast_do_not_spoil_the_baseline():
+    driver = LimitDriver(crowded(40))
+    before = driver.run(10)[-1]
+    driver.latency = lambda running: 0.001
+    driver.run(1, end=RunEnd.FAILED)
+    driver.latency = crowded(40)
+    driver.run(10)
+    assert driver.limit.limit >= before / 2
+
+
+def test_cold_start_leaves_no_lasting_mark():
+    driver = LimitDriver(lambda running: crowded(40)(running) * 20)
+    driver.run(5)
+    driver.latency = crowded(40)
+    driver.run(40)
+    limits = driver.run(20)
+    assert 40 <= sum(limits) / len(limits) <= 100
+
+
+def test_callers_in_a_hurry_do_not_shrink_the_limit():
+    driver = LimitDriver(crowded(40))
+    before = driver.run(10)[-1]
+    driver.latency = lambda running: 0.01
+    driver.run(5, end=RunEnd.CUT_OFF)
+    assert driver.limit.limit >= before
