Count tries that went out with a lost attempt as spent

A call kept its tries while it lent the same tries to the attempt below. A reply that returns nothing of what was lent ends the tries of all levels above.

Ruled out: keeping a try back at the root only, which leaves deeper hops no try after a lost reply.

--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -51,7 +51,8 @@
     Reason.BROKEN_ANSWER: RetryReason.CONNECTION_LOST,
 }
 """Failures that another backend server may not repeat."""
-NO_TRIES_LEFT = 0
+RESERVE_DIVISOR = 2
+"""A call keeps one try in so many to itself, for an attempt without a reply."""
 
 
 @frozen
@@ -80,7 +81,10 @@
     parent : str
         Context token of the parent call; empty for a call from outside.
     tries : int
-        Further tries that this call and those below it may spend.
+        Further tries that this call holds itself.
+    lent_tries : int
+        Further tries that went out with the attempt; its reply returns what is
+        left of them, and without a reply they count as spent.
     attempt : str
         Name of the attempt whose reply is awaited; empty for none.
     node : str
@@ -98,6 +102,7 @@
     arrived_at: float
     parent: str = ""
     tries: int = 0
+    lent_tries: int = 0
     attempt: str = ""
     node: str = ""
     sent_at: float = 0.0
@@ -113,6 +118,21 @@
         """Name of the call in this process."""
         return self.arrival.call
 
+    def lend_tries(self) -> None:
+        """Set tries apart for the next attempt and what it calls."""
+        self.lent_tries = self.tries - self.tries // RESERVE_DIVISOR
+        self.tries -= self.lent_tries
+
+    def take_back_tries(self, left: int) -> None:
+        """Take back what an attempt has not spent.
+
+        If it has spent all, what is tried again here would fail below again.
+        """
+        if self.lent_tries > 0 and left <= 0:
+            self.tries = 0
+        self.tries += min(max(left, 0), self.lent_tries)
+        self.lent_tries = 0
+
     # Guards.
     def pays_a_token(self, arg):
         """Return whether the call counts towards its organisation's rate."""
@@ -420,6 +440,7 @@
         call.attempt = f"{self._node}/{self._incarnation}/{next(self._numbers)}"
         call.node = node
         call.sent_at = call.now
+        call.lend_tries()
         self._attempts[call.attempt] = call
         self._router.sent(node)
         call.out.append(Send(node, self._forward(call)))
@@ -435,7 +456,7 @@
             importance=context.importance,
             at_most_once=not call.route.idempotent,
             timeout_ms=max(int((context.deadline - call.now) * 1000), 1),
-            tries=call.tries,
+            tries=call.lent_tries,
             depth=context.depth,
             fingerprint=call.fingerprint,
             key=call.caller.key,
@@ -449,7 +470,7 @@
             self.counters.add("late-replies")
             return
         self.forget_attempt(call, reply, timed_out=False)
-        call.tries = min(call.tries, max(reply.tries, NO_TRIES_LEFT))
+        call.take_back_tries(reply.tries)
         if reply.response is not None and reply.reason is None:
             yield from self._send(call.name, "attempt_done", now, reply)
             return
@@ -472,6 +493,7 @@
         call = self._attempts.get(signal.message.attempt)
         if call is not None:
             self.forget_attempt(call, None, timed_out=False)
+            call.take_back_tries(call.lent_tries)
             call.failure = Failure(Outcome.NOT_RUN, Reason.UNREACHABLE)
             yield from self._fail(call, now)
 
--- /dev/null
+++ b/tests/test_retry_bound.py
@@ -0,0 +1,102 @@
+"""Bounds on further tries, over the whole call chain and over many calls."""
+
+from monsoonmill.decisions.retries import RetryLimiter
+from monsoonmill.decisions.signals import RunFailure, RunFinished
+from monsoonmill.reasons import Outcome, Reason, RetryReason
+from monsoonmill.settings import Settings
+from tests.chains import NOT_RUN, ChainFleet
+
+DEPTH = 14
+TRIES = 3
+
+
+def check_bound(fleet):
+    assert fleet.runs_by_level[-1] <= 1 + TRIES
+    assert fleet.runs <= fleet.calls + TRIES
+
+
+def test_chain_of_14_hops_that_all_refuse_spends_one_budget():
+    fleet = ChainFleet(DEPTH)
+    name = fleet.start(fleet.members[0])
+    fleet.advance(5)
+    assert fleet.members[0].answers[name].outcome is Outcome.NOT_RUN
+    assert fleet.runs_by_level[-1] >= 2
+    check_bound(fleet)
+
+
+def test_chain_of_14_hops_that_all_lose_their_answers_spends_one_budget():
+    fleet = ChainFleet(DEPTH, leaf_end=lambda call: RunFailure.CONNECTION_LOST)
+    fleet.start(fleet.members[0])
+    fleet.advance(5)
+    assert fleet.runs_by_level[-1] >= 2
+    check_bound(fleet)
+
+
+def test_levels_above_a_spent_budget_do_not_try_again():
+    fleet = ChainFleet(DEPTH)
+    fleet.start(fleet.members[0])
+    fleet.advance(5)
+    assert fleet.runs_by_level[:-1] == [1] * (DEPTH - 1)
+
+
+def test_nested_calls_side_by_side_share_one_budget():
+    fleet = ChainFleet(5, fan_out=3, admission={"initial_limit": 256})
+    fleet.start(fleet.members[0])
+    fleet.advance(5)
+    assert fleet.runs_by_level[-1] >= 3**4
+    assert fleet.runs <= fleet.calls + TRIES
+
+
+def test_lost_peers_do_not_renew_the_budget():
+    killed = []
+
+    def run(node, call):
+        level = int(call.request.path.rpartition("/")[2])
+        if level == 2 and len(killed) < 2 and node is not fleet.members[0]:
+            killed.append(node)
+            fleet._later(0.002, lambda: fleet.kill(node))
+        return run_level(node, call)
+
+    fleet = ChainFleet(6, size=8)
+    run_level, fleet._run = fleet._run, run
+    fleet.start(fleet.members[0])
+    fleet.advance(12)
+    assert killed
+    assert fleet.runs <= fleet.calls + TRIES
+
+
+def test_flood_of_refusals_is_tried_again_only_in_proportion():
+    calls = 400
+    fleet = ChainFleet(1, call={"retry_ratio": 0.1, "retry_burst": 10.0})
+    for _ in range(calls):
+        fleet.start(fleet.members[0])
+        fleet.advance(0.01)
+    fleet.advance(2)
+    assert fleet.runs <= calls * 1.1 + 10
+    counters = fleet.members[0].core.counters
+    assert counters.value(RetryReason.RATIO_SPENT) > calls / 2
+
+
+def test_ratio_of_one_service_leaves_other_services_alone():
+    limiter = RetryLimiter(Settings.from_dict({}).call)
+    for _ in range(10):
+        limiter.spend("care")
+    assert limiter.check("care", 3) is RetryReason.RATIO_SPENT
+    assert limiter.check("donkeys", 3) is None
+
+
+def test_nested_call_of_a_call_that_has_ended_is_refused_as_cancelled():
+    contexts = []
+
+    def keep_context(node, call):
+        contexts.append((node, call.context))
+        return 0.001, RunFinished(call.attempt, NOT_RUN, None)
+
+    fleet = ChainFleet(1)
+    fleet._run = keep_context
+    fleet.start(fleet.members[0])
+    fleet.advance(1)
+    node, context = contexts[0]
+    name = fleet.call(node, "donkeys", "/lookup/1", context=context)
+    fleet.advance(1)
+    assert node.answers[name].reason is Reason.CANCELLED
