Probe the latency without load soon, and with a quarter of the limit

After a cold start the baseline held until a probe came 10 s later, and a probe with half the limit confirmed it: at a tolerance of 2 a limit of 48 at a server with 5 slots was a fixed point (test_limit_that_a_cold_start_misled_is_right_ within_seconds failed with limits of 48). Probes now come after 1 s under load, again after 1 s when they found less, otherwise doubling up to 16 s, and run at a quarter of the limit.

--- a/src/monsoonmill/decisions/concurrency_limit.py
+++ b/src/monsoonmill/decisions/concurrency_limit.py
@@ -33,9 +33,13 @@
 """The limit stops growing at this part of the way to the tolerance."""
 JUDGED_DECREASE = 0.5
 """A back-off is judged once the limit has shrunk to this part."""
-PROBE_FACTOR = 0.5
-PROBE_EVERY_S = 10.0
-CALM_SHARE = 0.5
+PROBE_FACTOR = 0.25
+FIRST_PROBE_S = 1.0
+MAX_PROBE_S = 16.0
+"""Probes come after these times under load, doubling while they find nothing."""
+LOWERED_RATIO = 0.9
+"""A probe with a smaller ratio has found a lower baseline."""
+CALM_SHARE = 0.25
 """A run that started with this part of the limit in use shows no overload."""
 
 
@@ -167,6 +171,7 @@
         self._window = Window()
         self._changed_at = float("-inf")
         self._calm_at = float("-inf")
+        self._probe_after_s = FIRST_PROBE_S
         self._before = self._limit
         self._judged = JudgedLimit(self._limit, 1.0)
         self.slowness = 1.0
@@ -271,7 +276,9 @@
 
     def needs_probe(self, judged):
         """Return whether no run without load has been seen for long."""
-        return judged.window.was_full and judged.now - self._calm_at > PROBE_EVERY_S
+        return (
+            judged.window.was_full and judged.now - self._calm_at > self._probe_after_s
+        )
 
     def is_slow_by_itself(self, judged):
         """Return whether a much smaller limit has hardly lowered the latency."""
@@ -323,6 +330,10 @@
         if window.count:
             self._latencies.scale(window.routes, min(window.ratio, 1.0))
             self.slowness = max(window.ratio, 1.0)
+        if window.ratio < LOWERED_RATIO:
+            self._probe_after_s = FIRST_PROBE_S
+        else:
+            self._probe_after_s = min(self._probe_after_s * 2, MAX_PROBE_S)
         self._calm_at = judged.now
         self._set(self._before, judged.now)
 
--- a/src/monsoonmill/load/overload_trial.py
+++ b/src/monsoonmill/load/overload_trial.py
@@ -54,6 +54,7 @@
 
 SPELL = Slowdown(TRIGGER_START_S, TRIGGER_END_S, 0.25)
 SCENARIOS = (
+    Scenario("load 0.8x", 0.8),
     Scenario("load 1x", 1.0),
     Scenario("load 2x", 2.0),
     Scenario("load 5x", 5.0),
--- a/tests/test_admission_limit.py
+++ b/tests/test_admission_limit.py
@@ -95,6 +95,14 @@
     assert 40 <= sum(limits) / len(limits) <= 100
 
 
+def test_limit_that_a_cold_start_misled_is_right_within_seconds():
+    driver = LimitDriver(lambda running: crowded(5)(running) * 4)
+    driver.run(2)
+    driver.latency = crowded(5)
+    driver.run(8)
+    assert max(driver.run(1)) <= 15
+
+
 def test_callers_in_a_hurry_do_not_shrink_the_limit():
     driver = LimitDriver(crowded(40))
     before = driver.run(10)[-1]
