--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -5,10 +5,12 @@
 from monsoonmill.codec import ConfigCodec
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission import Admission, AdmitAll
+from monsoonmill.decisions.admission_queued import QueuedAdmission
 from monsoonmill.decisions.claims import Claims, NoClaims
 from monsoonmill.decisions.claims_paired import PairedClaims
 from monsoonmill.decisions.claims_single import SingleHomeClaims
 from monsoonmill.decisions.configuration import ConfigView
+from monsoonmill.decisions.front_door import FrontDoor, OpenDoor, ThreadDoor
 from monsoonmill.decisions.health import AllHealthy, Health
 from monsoonmill.decisions.health_passive import PassiveHealth
 from monsoonmill.decisions.membership import Membership
@@ -46,7 +48,18 @@
 
 def make_admission(cfg: Settings) -> Admission:
     """Return the part that gives out slots."""
-    return AdmitAll()
+    if cfg.policy.admission == "all":
+        return AdmitAll()
+    if cfg.policy.admission == "fixed":
+        return QueuedAdmission.fixed(cfg.admission)
+    return QueuedAdmission.adaptive(cfg.admission)
+
+
+def make_front_door(cfg: Settings) -> FrontDoor:
+    """Return the bound on the calls in progress at this node."""
+    if cfg.policy.front_door == "open":
+        return OpenDoor()
+    return ThreadDoor(cfg.http)
 
 
 def make_health(cfg: Settings, members: Membership, counters: Counters) -> Health:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -31,6 +31,8 @@
 
 
 def make_fleet(servers, **sections):
+    # Admission would refuse what exceeds the slots and blur the judgement.
+    sections.setdefault("policy", {"admission": "all"})
     fleet = FakeFleet(run=servers.run, **sections)
     fleet.install(small_config())
     nodes = [fleet.add(service="donkeys") for _ in range(SIZE)]
