Bound organisations' rates over the fleet by slices that nodes lend

Rates were not bounded at all. Every slice of all rates now has one owner by a compare-and-swapped key of the platform; owners lend an organisation's part to its token holder for a term, and the holder grants tokens to the nodes. Fixed slices and one lease holder per organisation are built beside it, to compare with. A holder that granted nothing ahead was asked again at once, without end; a short grant is now followed by a rest.

--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -86,7 +86,11 @@
             self.counters,
         )
         self.draining = Draining(
-            cfg.drain, self.calls, self.executions, (self.claims,), self.counters
+            cfg.drain,
+            self.calls,
+            self.executions,
+            (self.claims, self.quota),
+            self.counters,
         )
         self.watchers = WatcherChoice(cfg, self.members, self.register)
         self._numbers = count(1)
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -10,8 +10,16 @@
 from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.poison import NoPoison, PoisonGuard
 from monsoonmill.decisions.quota import Quota, UnlimitedQuota
+from monsoonmill.decisions.quota_escrow import EscrowQuota
+from monsoonmill.decisions.quota_variants import FixedSlicesQuota, SingleHolderQuota
 from monsoonmill.settings import Settings
 
+BOUNDED_QUOTAS = {
+    "escrow": EscrowQuota,
+    "fixed-slices": FixedSlicesQuota,
+    "single-holder": SingleHolderQuota,
+}
+
 
 def make_quota(
     cfg: Settings,
@@ -21,7 +29,10 @@
     counters: Counters,
 ) -> Quota:
     """Return the part that gives out tokens."""
-    return UnlimitedQuota()
+    name = cfg.policy.quota
+    if name == "unlimited":
+        return UnlimitedQuota()
+    return BOUNDED_QUOTAS[name](cfg.quota, members, view, rng, counters)
 
 
 def make_claims(
--- /dev/null
+++ b/src/monsoonmill/decisions/quota_escrow.py
@@ -0,0 +1,259 @@
+"""Escrow: nodes own slices of all rates and lend them to the token holders."""
+
+from random import Random
+
+from attrs import define, frozen
+
+from monsoonmill.counters import Counters
+from monsoonmill.decisions.configuration import ConfigView
+from monsoonmill.decisions.held_tokens import HeldLoan
+from monsoonmill.decisions.loans import OwnRates
+from monsoonmill.decisions.membership import Membership
+from monsoonmill.decisions.quota_held import HeldOrganisation, HeldQuota
+from monsoonmill.decisions.signals import (
+    PlatformDone,
+    PlatformFailed,
+    Received,
+    Send,
+)
+from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN, SliceTable
+from monsoonmill.messages import Loan, LoanRequest, LoanReturn
+from monsoonmill.settings import QuotaSettings
+
+ASK_LENDER_EVERY_S = 0.2
+EMPTY_LENDER_TERMS = 4
+"""A node that has nothing to lend is asked again after this many terms."""
+IDLE_TERMS = 3
+"""A holder returns its loans after this many terms without a request."""
+RENEW_AT = 0.5
+"""Share of its term after which a loan is renewed."""
+
+
+@frozen
+class RenewTimer:
+    """Timer of the renewal of an organisation's loans."""
+
+    organisation: str
+
+
+@define
+class Lender:
+    """What a holder knows of one lender of one organisation's rate.
+
+    Attributes
+    ----------
+    sequence : int
+        Sequence of the last request; 0 once it is answered.
+    ask_after : float
+        It is not asked before this time unless for a renewal.
+    """
+
+    sequence: int = 0
+    sent_at: float = 0.0
+    ask_after: float = float("-inf")
+
+
+class EscrowQuota(HeldQuota):
+    """Every slice is owned by one node and lent to one holder at a time."""
+
+    def __init__(
+        self,
+        cfg: QuotaSettings,
+        members: Membership,
+        view: ConfigView,
+        rng: Random,
+        counters: Counters,
+    ):
+        super().__init__(cfg, members, view, rng, counters)
+        self.slices = SliceTable(cfg, members, rng)
+        self.own = OwnRates(cfg, self.slices)
+        self._lenders: dict[tuple[str, str], Lender] = {}
+        self._leaving = False
+
+    def handlers(self):
+        """Return the handlers of this decision."""
+        return {
+            **super().handlers(),
+            PlatformDone: self.on_platform_done,
+            PlatformFailed: self.on_platform_failed,
+            LoanRequest: self.on_loan_request,
+            Loan: self.on_loan,
+            LoanReturn: self.on_loan_return,
+        }
+
+    @property
+    def in_progress(self):
+        """Number of slices that a leaving node has yet to give back."""
+        return self.slices.held if self._leaving else 0
+
+    def start(self, now):
+        """Begin to claim slices."""
+        yield from super().start(now)
+        yield from self.slices.start(now)
+
+    # Slices.
+    def on_platform_done(self, signal, now):
+        """Take the end of a call for slices."""
+        yield from self.slices.on_platform_done(signal, now)
+        self._follow_slices(now)
+
+    def on_platform_failed(self, signal, now):
+        """Take the failure of a call for slices."""
+        yield from self.slices.on_platform_failed(signal, now)
+        self._follow_slices(now)
+
+    def _follow_slices(self, now):
+        if self.own.has_changed(now):
+            self.own.update(self.view.config.organisations, now)
+
+    def on_config_changed(self, signal, now):
+        """Follow changes of rates and bursts."""
+        self.own.update(signal.new.organisations, now)
+        yield from super().on_config_changed(signal, now)
+
+    def on_members_changed(self, signal, now):
+        """Hand over what has another holder, and balance the slices."""
+        yield from super().on_members_changed(signal, now)
+        yield from self.slices.on_members_changed(now)
+        for key in [key for key in self._lenders if not self.members.find(key[1])]:
+            del self._lenders[key]
+
+    def on_self_leaving(self, signal, now):
+        """Return loans and give the slices back."""
+        self._leaving = True
+        yield from super().on_self_leaving(signal, now)
+        yield from self.slices.release_all(now)
+        self._follow_slices(now)
+
+    def next_due(self):
+        """Return when the next timer is due."""
+        times = (super().next_due(), self.slices.next_due())
+        return min((due for due in times if due is not None), default=None)
+
+    def tick(self, now):
+        """Run the timers of slices, loans and calls."""
+        yield from self.slices.tick(now)
+        self._follow_slices(now)
+        yield from super().tick(now)
+
+    def on_timer(self, key, now):
+        """Act on one timer."""
+        if isinstance(key, RenewTimer):
+            yield from self._renew(key.organisation, now)
+        else:
+            yield from super().on_timer(key, now)
+
+    # Spending from the own slices.
+    def take(self, demand, now):
+        """Spend a granted token, or one of the own slices that are not lent."""
+        return super().take(demand, now) or self.own.take(demand.organisation, now)
+
+    def wait_s(self, demand, now):
+        """Return how long until the own slices have a token."""
+        return self.own.wait_s(demand.organisation, now)
+
+    def ask(self, demand, now):
+        """Ask the holder unless the own slices are enough."""
+        if not demand.parked and self.own.wait_s(demand.organisation, now) == 0:
+            return
+        yield from super().ask(demand, now)
+
+    # Lending.
+    def on_loan_request(self, signal: Received, now: float):
+        """Lend the own slices to the holder in this node's view."""
+        message = signal.message
+        if self.holder(message.organisation) == signal.node:
+            loan = self.own.lend(
+                message.organisation, signal.node, message.sequence, now
+            )
+        else:
+            retry_s = ASK_LENDER_EVERY_S
+            loan = Loan(message.sequence, message.organisation, 0, 0.0, retry_s)
+        yield Send(signal.node, loan)
+
+    def on_loan_return(self, signal: Received, now: float):
+        """Take a loan back before its end."""
+        self.own.end_loan(signal.node, signal.message, now)
+        return ()
+
+    # Borrowing.
+    def get_capacity(self, held: HeldOrganisation, now: float):
+        """Ask all members for loans that have not lent yet."""
+        name = held.tokens.organisation.name
+        for member in self.alive():
+            lender = self._lender(name, member.node)
+            if member.node not in held.tokens.loans and now >= lender.ask_after:
+                lender.ask_after = now + ASK_LENDER_EVERY_S
+                yield self._request_loan(name, member.node, lender, now)
+
+    def _lender(self, organisation, node):
+        return self._lenders.setdefault((organisation, node), Lender())
+
+    def _request_loan(self, organisation, node, lender, now):
+        lender.sequence = next(self.sequences)
+        lender.sent_at = now
+        return Send(node, LoanRequest(lender.sequence, organisation))
+
+    def is_on_its_way(self, held, now):
+        """Return whether a lender has still to answer."""
+        name = held.tokens.organisation.name
+        return any(
+            lender.sequence and now < lender.sent_at + ASK_LENDER_EVERY_S
+            for (organisation, node), lender in self._lenders.items()
+            if organisation == name and node not in held.tokens.loans
+        )
+
+    def on_loan(self, signal: Received, now: float):
+        """Use a loan, from the time of its request on."""
+        message = signal.message
+        held = self.held.get(message.organisation)
+        lender = self._lenders.get((message.organisation, signal.node))
+        if held is None or lender is None or lender.sequence != message.sequence:
+            return
+        lender.sequence = 0
+        if message.slices == 0:
+            terms_s = EMPTY_LENDER_TERMS * self.cfg.loan_term_ms / 1000
+            lender.ask_after = now + (message.retry_after_s or terms_s)
+            held.tokens.end_loan(signal.node, now)
+        else:
+            self._use_loan(held, signal.node, lender, message, now)
+        yield from self.serve_pending(held, now)
+
+    def _use_loan(self, held, node, lender, message, now):
+        term_s = self.cfg.loan_term_ms / 1000 * (1 - CLOCK_RATE_MARGIN)
+        ends_at = lender.sent_at + term_s - self.cfg.grant_term_ms / 1000
+        loan = HeldLoan(message.slices, ends_at, message.sequence)
+        held.tokens.add_loan(node, loan, message.level, now)
+        timer = RenewTimer(message.organisation)
+        renew_at = lender.sent_at + self.cfg.loan_term_ms / 1000 * RENEW_AT
+        if not self.timers.is_due_before(timer, renew_at):
+            self.timers.set(timer, renew_at)
+
+    def _renew(self, organisation, now):
+        held = self.held.get(organisation)
+        if held is None or not self.is_holder(organisation):
+            return
+        if now - held.wanted_at > IDLE_TERMS * self.cfg.loan_term_ms / 1000:
+            yield from self.give_up_capacity(held, now)
+            return
+        held.tokens.advance(now)
+        for node in list(held.tokens.loans):
+            lender = self._lender(organisation, node)
+            yield self._request_loan(organisation, node, lender, now)
+
+    def give_up_capacity(self, held, now):
+        """Return all loans with the tokens that are left."""
+        name = held.tokens.organisation.name
+        for node, loan, level in held.tokens.drop_loans(now):
+            yield Send(node, LoanReturn(loan.sequence, name, level))
+        for (organisation, _), lender in self._lenders.items():
+            if organisation == name:
+                lender.sequence = 0
+
+    def status(self):
+        """Return the slices and loans beside what the holder grants."""
+        return {
+            **super().status(),
+            "slices": self.slices.status(),
+            "loans": self.own.status(),
+        }
--- /dev/null
+++ b/src/monsoonmill/decisions/quota_parking.py
@@ -0,0 +1,216 @@
+"""Calls that wait a short while for a token of their organisation."""
+
+from abc import abstractmethod
+from collections import deque
+
+from attrs import define, field, frozen
+
+from monsoonmill.counters import Counters
+from monsoonmill.decisions.configuration import ConfigView
+from monsoonmill.decisions.quota import Quota
+from monsoonmill.decisions.signals import (
+    ConfigChanged,
+    TokenDenied,
+    TokenGiven,
+    TokenWanted,
+)
+from monsoonmill.decisions.timers import Timers
+from monsoonmill.decisions.token_bucket import RateEstimate
+from monsoonmill.settings import QuotaSettings
+
+MAX_PARKED = 4096
+"""Calls that wait in one node; further ones are denied."""
+LEAST_PARKED = 4
+LEAST_LOOK_S = 0.005
+UNKNOWN_RETRY_S = 1.0
+"""What a caller is told when nothing is known of the next token."""
+
+
+@frozen
+class ParkedCall:
+    """A call without a token."""
+
+    call: str
+    give_up: float
+
+
+@frozen(eq=True)
+class ParkingTime:
+    """Timer of a parked call."""
+
+    organisation: str
+    call: str
+
+
+@frozen
+class LookAgain:
+    """Timer of the next own token."""
+
+    organisation: str
+
+
+@define(eq=False)
+class Demand:
+    """An organisation's calls at this node.
+
+    Attributes
+    ----------
+    next_token_at : float
+        No token is to be had before this time.
+    served : RateEstimate
+        Tokens that were given to calls.
+    """
+
+    organisation: str
+    arrivals: RateEstimate
+    served: RateEstimate
+    parked: deque[ParkedCall] = field(factory=deque)
+    next_token_at: float = float("-inf")
+
+
+class ParkingQuota(Quota):
+    """Base of the variants that bound the rate.
+
+    Parameters
+    ----------
+    part : Decision
+        Any part whose signals and timers this one also carries.
+    """
+
+    def __init__(self, cfg: QuotaSettings, view: ConfigView, counters: Counters):
+        self.cfg = cfg
+        self.view = view
+        self.counters = counters
+        self.timers = Timers()
+        self._demands: dict[str, Demand] = {}
+        self._parked = 0
+
+    @abstractmethod
+    def take(self, demand: Demand, now: float) -> bool:
+        """Spend one token that is at hand."""
+
+    @abstractmethod
+    def wait_s(self, demand: Demand, now: float) -> float:
+        """Return when to look again for a token, without any message."""
+
+    def ask(self, demand: Demand, now: float):
+        """Yield what gets further tokens."""
+        return ()
+
+    def new_demand(self, organisation: str, now: float) -> Demand:
+        """Return the entry of an organisation without calls."""
+        return Demand(organisation, RateEstimate(now), RateEstimate(now))
+
+    def handlers(self):
+        """Return the handlers of this decision."""
+        return {**super().handlers(), ConfigChanged: self.on_config_changed}
+
+    def on_config_changed(self, signal: ConfigChanged, now: float):
+        """Forget organisations that are gone; their calls are denied in time."""
+        for name in self._demands.keys() - signal.new.organisations.keys():
+            if not self._demands[name].parked:
+                del self._demands[name]
+        return ()
+
+    def on_token_wanted(self, signal: TokenWanted, now: float):
+        """Give a token, let the call wait for one, or deny it."""
+        if signal.organisation not in self.view.config.organisations:
+            yield TokenDenied(signal.call, UNKNOWN_RETRY_S)
+            return
+        demand = self._demand(signal.organisation, now)
+        demand.arrivals.add(1, now)
+        if not demand.parked and self.take(demand, now):
+            demand.served.add(1, now)
+            yield TokenGiven(signal.call)
+        elif self._park(demand, signal, now):
+            self._look_again(demand, now)
+        else:
+            self.counters.add("tokens-denied-at-once")
+            yield TokenDenied(signal.call, self._retry_after_s(demand, now))
+        yield from self.ask(demand, now)
+
+    def _demand(self, organisation, now):
+        if organisation not in self._demands:
+            self._demands[organisation] = self.new_demand(organisation, now)
+        return self._demands[organisation]
+
+    def demands(self):
+        """Return the organisations that have sent calls to this node."""
+        return list(self._demands.values())
+
+    def find_demand(self, organisation: str) -> Demand | None:
+        """Return the entry of an organisation, if it has sent calls."""
+        return self._demands.get(organisation)
+
+    def _park(self, demand, signal, now):
+        give_up = min(now + self.cfg.park_ms / 1000, signal.deadline)
+        if give_up <= max(now, demand.next_token_at):
+            return False
+        if self._parked >= MAX_PARKED or len(demand.parked) >= self._room(demand, now):
+            return False
+        self._parked += 1
+        demand.parked.append(ParkedCall(signal.call, give_up))
+        self.timers.set(ParkingTime(demand.organisation, signal.call), give_up)
+        return True
+
+    def _room(self, demand, now):
+        """Return how many calls may wait; few if tokens are known to be short."""
+        if now >= demand.next_token_at:
+            return MAX_PARKED
+        return LEAST_PARKED + demand.served.value(now) * self.cfg.park_ms / 1000
+
+    def _retry_after_s(self, demand, now):
+        wait_s = demand.next_token_at - now
+        return wait_s if wait_s > 0 else UNKNOWN_RETRY_S
+
+    def _look_again(self, demand, now):
+        wait_s = max(self.wait_s(demand, now), LEAST_LOOK_S)
+        if demand.parked and wait_s <= self.cfg.park_ms / 1000:
+            self.timers.set(LookAgain(demand.organisation), now + wait_s)
+
+    def serve(self, demand: Demand, now: float):
+        """Give tokens at hand to the calls that wait, oldest first."""
+        while demand.parked and self.take(demand, now):
+            parked = demand.parked.popleft()
+            self._parked -= 1
+            self.timers.cancel(ParkingTime(demand.organisation, parked.call))
+            demand.served.add(1, now)
+            yield TokenGiven(parked.call)
+        self._look_again(demand, now)
+
+    def deny_hopeless(self, demand: Demand, now: float):
+        """Deny the calls that would give up before the next token."""
+        hopeless = [one for one in demand.parked if one.give_up <= demand.next_token_at]
+        for parked in hopeless:
+            yield from self._deny(demand, parked, now)
+
+    def _deny(self, demand, parked, now):
+        demand.parked.remove(parked)
+        self._parked -= 1
+        self.timers.cancel(ParkingTime(demand.organisation, parked.call))
+        self.counters.add("tokens-denied")
+        yield TokenDenied(parked.call, self._retry_after_s(demand, now))
+
+    def next_due(self):
+        """Return when the next timer is due."""
+        return self.timers.next_due()
+
+    def tick(self, now):
+        """Look for tokens again, and deny calls that have waited long enough."""
+        for key in self.timers.pop_due(now):
+            yield from self.on_timer(key, now)
+
+    def on_timer(self, key: object, now: float):
+        """Act on one timer."""
+        demand = self._demands.get(key.organisation)
+        if demand is None:
+            return
+        yield from self.serve(demand, now)
+        if isinstance(key, ParkingTime):
+            for parked in [one for one in demand.parked if one.call == key.call]:
+                yield from self._deny(demand, parked, now)
+
+    def status(self):
+        """Return the number of calls that wait, by organisation."""
+        parked = {name: len(one.parked) for name, one in self._demands.items()}
+        return {"parked": {name: n for name, n in parked.items() if n}}
--- a/src/monsoonmill/decisions/timers.py
+++ b/src/monsoonmill/decisions/timers.py
@@ -21,6 +21,10 @@
         """Forget a key's time."""
         self._due.pop(key, None)
 
+    def is_due_before(self, key: object, limit: float) -> bool:
+        """Return whether a key is set and due before a time."""
+        return self._due.get(key, limit) < limit
+
     def next_due(self) -> float | None:
         """Return the earliest due time."""
         while self._heap and self._due.get(self._heap[0][2]) != self._heap[0][0]:
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -177,13 +177,19 @@
     ----------
     sequence : int
         Names the request in the answer.
-    tokens : float
-        Tokens wanted.
+    needed : int
+        Tokens for calls that wait.
+    ahead : int
+        Further tokens for calls that are expected.
+    spent : tuple of int
+        Sequences of grants whose tokens are all spent.
     """
 
     sequence: int
     organisation: str
-    tokens: float
+    needed: int
+    ahead: int
+    spent: tuple[int, ...] = ()
 
 
 @frozen
@@ -192,15 +198,15 @@
 
     Attributes
     ----------
-    tokens : float
+    tokens : int
         Tokens granted, which lapse with the term that began at the request.
     retry_after_s : float
-        When to ask again if too few were granted.
+        When to ask again if too few were granted; 0 if all needed were.
     """
 
     sequence: int
     organisation: str
-    tokens: float
+    tokens: int
     retry_after_s: float
 
 
@@ -219,15 +225,35 @@
     Attributes
     ----------
     slices : int
-        Number of slices lent.
+        Number of slices lent; 0 for none.
     level : float
-        Tokens in the lent slices' buckets at the time of lending.
+        Tokens that go over with the loan.
+    retry_after_s : float
+        When the slices may be free, if they are lent to another node.
     """
 
     sequence: int
     organisation: str
     slices: int
     level: float
+    retry_after_s: float = 0.0
+
+
+@frozen
+class LoanReturn:
+    """Ends a loan before its term.
+
+    Attributes
+    ----------
+    sequence : int
+        Sequence of the last ``Loan``.
+    level : float
+        Tokens that go back.
+    """
+
+    sequence: int
+    organisation: str
+    level: float
 
 
 @frozen
@@ -307,6 +333,7 @@
     TokenGrant,
     LoanRequest,
     Loan,
+    LoanReturn,
     ClaimRequest,
     ClaimReply,
     ClaimSettle,
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -11,6 +11,7 @@
 from monsoonmill.model import Address
 
 MAX_PORT = 65535
+QUOTA_POLICIES = ("escrow", "fixed-slices", "single-holder", "unlimited")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -90,7 +91,7 @@
 class PolicySettings:
     """Variant of each part of the decisions that has several."""
 
-    quota: str = field(validator=in_(("unlimited",)))
+    quota: str = field(validator=in_(QUOTA_POLICIES))
     claims: str = field(validator=in_(("none",)))
     admission: str = field(validator=in_(("all",)))
     health: str = field(validator=in_(("none",)))
--- /dev/null
+++ b/tests/test_quota_escrow.py
@@ -0,0 +1,123 @@
+"""Rates hold over the fleet, and capacity stays usable, when parts of it fail."""
+
+from monsoonmill.decisions.signals import DrainRequested
+from tests.quota_fleet import make_quota_fleet
+
+RATE = 20.0
+TERM_S = 2.0
+
+
+def run_at_rate(fleet, nodes, seconds, share=0.8):
+    """Send calls at a share of the rate; return the share that got a token."""
+    given, denied = fleet.given["branch"], fleet.denied["branch"]
+    fleet.drive(seconds, RATE * share, lambda now: fleet.rng.choice(nodes))
+    fleet.advance(0.5)
+    given = fleet.given["branch"] - given
+    return given / (given + fleet.denied["branch"] - denied)
+
+
+def test_each_slice_has_one_owner():
+    fleet, nodes = make_quota_fleet(3)
+    fleet.advance(60)
+    assert fleet.owned() == 8
+    shares = [node.core.quota.slices.owned(fleet.now) for node in nodes]
+    assert max(shares) <= 3
+
+
+def test_calls_within_the_rate_get_tokens_wherever_they_come_in():
+    fleet, nodes = make_quota_fleet()
+    assert run_at_rate(fleet, nodes, 10) == 1.0
+    assert run_at_rate(fleet, nodes[:1], 10) == 1.0
+
+
+def test_organisation_at_five_times_its_rate_gets_its_rate_and_no_more():
+    fleet, nodes = make_quota_fleet()
+    share = run_at_rate(fleet, nodes, 20, share=5.0)
+    assert 0.17 <= share <= 0.23
+
+
+def test_burst_at_one_node_is_served_from_all_slices():
+    fleet, nodes = make_quota_fleet()
+    fleet.want(nodes[0], calls=10)
+    fleet.advance(1)
+    assert fleet.given["branch"] == 10
+
+
+def test_capacity_of_a_killed_holder_is_back_after_its_loans():
+    fleet, nodes = make_quota_fleet()
+    run_at_rate(fleet, nodes, 5)
+    holder = nodes[0].core.quota.holder("branch")
+    fleet.kill(fleet.nodes[holder])
+    nodes = [node for node in nodes if node.is_up]
+    fleet.advance(TERM_S + 0.1)
+    # A quarter of the slices is gone until its lease lapses.
+    assert run_at_rate(fleet, nodes, 10, share=0.6) >= 0.98
+
+
+def test_outage_of_the_platform_costs_nothing_before_the_lease_lapses():
+    fleet, nodes = make_quota_fleet()
+    fleet.platform.is_down = True
+    assert run_at_rate(fleet, nodes, 10) == 1.0
+    fleet.advance(20)
+    assert fleet.owned() == 0
+    fleet.platform.is_down = False
+    fleet.advance(10)
+    assert fleet.owned() == 8
+
+
+def test_both_sides_of_a_partition_spend_their_own_slices():
+    fleet, nodes = make_quota_fleet()
+    run_at_rate(fleet, nodes, 3)
+    for one in nodes[:2]:
+        for other in nodes[2:]:
+            fleet.cut.add(frozenset((one.name, other.name)))
+    fleet.advance(2 * TERM_S + 2)
+    assert run_at_rate(fleet, nodes, 10, share=0.6) >= 0.95
+
+
+def test_node_cut_off_from_all_spends_its_own_slices():
+    fleet, nodes = make_quota_fleet()
+    run_at_rate(fleet, nodes, 3)
+    fleet.cut_off(nodes[1])
+    fleet.advance(TERM_S + 1)
+    assert run_at_rate(fleet, nodes[1:2], 10, share=0.15) >= 0.95
+
+
+def test_restarted_node_takes_its_slices_back_after_the_loans_ended():
+    fleet, nodes = make_quota_fleet()
+    run_at_rate(fleet, nodes, 3)
+    owned = nodes[1].core.quota.slices.owned(fleet.now)
+    again = fleet.restart(nodes[1])
+    fleet.advance(TERM_S - 0.1)
+    assert again.core.quota.slices.owned(fleet.now) == 0
+    fleet.advance(1)
+    assert again.core.quota.slices.owned(fleet.now) == owned
+
+
+def test_draining_node_gives_its_slices_back_and_others_claim_them():
+    fleet, nodes = make_quota_fleet()
+    run_at_rate(fleet, nodes, 3)
+    fleet.give(nodes[1], DrainRequested())
+    assert fleet.advance_until(lambda: nodes[1].drained, limit_s=10)
+    fleet.kill(nodes[1])
+    assert fleet.advance_until(lambda: fleet.owned() == 8, limit_s=60)
+
+
+def test_owner_that_was_paused_over_its_lease_spends_nothing():
+    fleet, nodes = make_quota_fleet()
+    fleet.pause(nodes[1])
+    fleet.advance(25)
+    others = [node for node in nodes if node is not nodes[1]]
+    assert fleet.advance_until(lambda: fleet.owned() == 8, limit_s=60)
+    fleet.want(nodes[1], calls=20)
+    fleet.resume(nodes[1])
+    assert nodes[1].core.quota.slices.owned(fleet.now) == 0
+    run_at_rate(fleet, [*others, nodes[1]], 3, share=2.0)
+
+
+def test_rate_change_by_release_note_is_followed():
+    fleet, nodes = make_quota_fleet()
+    fleet.change_rate(4.0, 2.0)
+    fleet.advance(2)
+    fleet.drive(10, RATE, lambda now: fleet.rng.choice(nodes))
+    assert 36 <= fleet.given["branch"] <= 42
