--- /dev/null
+++ b/tests/quota_trial.py
@@ -0,0 +1,139 @@
+"""Measure the quota's variants in a fake fleet: ``python -m tests.quota_trial``.
+
+``refusals`` prints unjust refusals and shares by variant and demand,
+``messages`` prints what one node sends for quotas by the fleet's size.
+"""
+
+from random import Random
+
+from fire import Fire
+
+from monsoonmill.codec_msgpack import MsgpackCodec
+from monsoonmill.messages import (
+    PEER_MESSAGES,
+    Loan,
+    LoanRequest,
+    LoanReturn,
+    TokenGrant,
+    TokenRequest,
+)
+from tests.quota_fleet import QuotaFleet
+
+ORGANISATIONS = tuple(f"branch-{number}" for number in range(8))
+QUOTA_MESSAGES = (TokenRequest, TokenGrant, LoanRequest, Loan, LoanReturn)
+POLICIES = ("escrow", "fixed-slices", "single-holder")
+SHARE = 0.9
+STEP_S = 0.01
+FILL_S = 8.0
+MOVE_EVERY_S = 5.0
+
+
+class CountingFleet(QuotaFleet):
+    """Counts the quota's messages between nodes."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.codec = MsgpackCodec(PEER_MESSAGES)
+        self.sent = 0
+        self.sent_bytes = 0
+
+    def _send(self, node, signal):
+        if isinstance(signal.message, QUOTA_MESSAGES):
+            self.sent += 1
+            self.sent_bytes += len(self.codec.encode(signal.message))
+        super()._send(node, signal)
+
+
+def choose_even(nodes, rng, now):
+    return rng.choice(nodes)
+
+
+def choose_one(nodes, rng, now):
+    return nodes[0]
+
+
+def choose_moving(nodes, rng, now):
+    return nodes[int(now / MOVE_EVERY_S) % len(nodes)]
+
+
+DEMANDS = {
+    "even": (choose_even, 1.0),
+    "one-node": (choose_one, 1.0),
+    "moving": (choose_moving, 1.0),
+    "one-at-5x": (choose_even, 5.0 / SHARE),
+}
+
+
+def make_fleet(policy, size, rate, burst, seed):
+    sections = {"policy": {"quota": policy}}
+    fleet = CountingFleet(
+        rate=rate, burst=burst, names=ORGANISATIONS, seed=seed, **sections
+    )
+    nodes = [fleet.add() for _ in range(size)]
+    fleet.advance(FILL_S)
+    return fleet, nodes
+
+
+def run(fleet, nodes, rate, choose, first_factor, seconds, seed):
+    """Let Poisson arrivals of all organisations come."""
+    rng = Random(seed)
+    for organisation in ORGANISATIONS:
+        factor = first_factor if organisation == ORGANISATIONS[0] else 1.0
+        mean_s = 1 / (rate * SHARE * factor)
+        schedule(fleet, nodes, organisation, mean_s, choose, rng, fleet.now + seconds)
+    fleet.advance(seconds + 0.5)
+
+
+def schedule(fleet, nodes, organisation, mean_s, choose, rng, end):
+    def arrive():
+        fleet.want(choose(nodes, rng, fleet.now), organisation)
+        plan()
+
+    def plan():
+        delay_s = rng.expovariate(1 / mean_s)
+        if fleet.now + delay_s < end:
+            fleet._later(delay_s, arrive)
+
+    plan()
+
+
+def refusals(seconds=20, size=8, rate=50.0, burst=50.0, seed=1, policies=POLICIES):
+    print("policy demand calls denied unjust unjust% granted/rate% worst% msgs/s/node")
+    for policy in policies:
+        for demand, (choose, factor) in DEMANDS.items():
+            fleet, nodes = make_fleet(policy, size, rate, burst, seed)
+            run(fleet, nodes, rate, choose, factor, seconds, seed)
+            within = ORGANISATIONS[1:] if factor > 1 else ORGANISATIONS
+            calls = {n: fleet.given[n] + fleet.denied[n] for n in ORGANISATIONS}
+            total = sum(calls.values())
+            unjust = sum(fleet.unjust[name] for name in within)
+            unjust_share = unjust / sum(calls[name] for name in within)
+            worst = min(fleet.given[n] / calls[n] for n in within)
+            granted = fleet.given[ORGANISATIONS[0]] / (rate * seconds + burst)
+            print(
+                f"{policy:14} {demand:10} {total:6} {sum(fleet.denied.values()):6} "
+                f"{unjust:6} {unjust_share:8.3%} {granted:8.1%} {worst:8.2%} "
+                f"{fleet.sent / size / seconds:8.1f}",
+                flush=True,
+            )
+
+
+def messages(sizes=(8, 32, 128), seconds=4, rate_per_node=2.5, seed=1):
+    print("nodes msgs/s/node bytes/s/node platform-calls/node denied unjust calls")
+    for size in sizes:
+        rate = rate_per_node * size
+        fleet, nodes = make_fleet("escrow", size, rate, rate, seed)
+        fleet.sent = fleet.sent_bytes = 0
+        run(fleet, nodes, rate, choose_even, 1.0, seconds, seed)
+        scale = 1 / size / seconds
+        given, denied = sum(fleet.given.values()), sum(fleet.denied.values())
+        print(
+            f"{size:5} {fleet.sent * scale:10.1f} {fleet.sent_bytes * scale:12.0f} "
+            f"{fleet.platform.calls / size:10.1f} {denied:6} "
+            f"{sum(fleet.unjust.values()):6} {given + denied:6}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    Fire({"refusals": refusals, "messages": messages})
