--- a/tests/quota_trial.py
+++ b/tests/quota_trial.py
@@ -1,14 +1,17 @@
 """Measure the quota's variants in a fake fleet: ``python -m tests.quota_trial``.
 
 ``refusals`` prints unjust refusals and shares by variant and demand,
+``faults`` the same while something fails, and
 ``messages`` prints what one node sends for quotas by the fleet's size.
 """
 
+from collections import Counter
 from random import Random
 
 from fire import Fire
 
 from monsoonmill.codec_msgpack import MsgpackCodec
+from monsoonmill.decisions.rendezvous import first_member
 from monsoonmill.messages import (
     PEER_MESSAGES,
     Loan,
@@ -75,6 +78,38 @@
     return fleet, nodes
 
 
+def slow_links(fleet, nodes):
+    fleet.latency_s = 0.03
+
+
+def kill_main_holder(fleet, nodes):
+    """Lose the node that holds most organisations' tokens."""
+
+    def kill():
+        members = list(nodes[0].core.members.members())
+        holders = Counter(first_member(name, members).node for name in ORGANISATIONS)
+        node = fleet.nodes[holders.most_common(1)[0][0]]
+        nodes.remove(node)
+        fleet.kill(node)
+
+    fleet._later(5.0, kill)
+
+
+def restart_one_by_one(fleet, nodes):
+    def restart(number):
+        nodes[number] = fleet.restart(nodes[number])
+
+    for number in range(len(nodes)):
+        fleet._later(2.0 * (number + 1), lambda number=number: restart(number))
+
+
+FAULTS = {
+    "30-ms-links": slow_links,
+    "holder-killed": kill_main_holder,
+    "restarts": restart_one_by_one,
+}
+
+
 def run(fleet, nodes, rate, choose, first_factor, seconds, seed):
     """Let Poisson arrivals of all organisations come."""
     rng = Random(seed)
@@ -119,6 +154,26 @@
             )
 
 
+def faults(
+    seconds=20, size=8, rate=50.0, burst=50.0, share=0.5, seed=1, policies=POLICIES
+):
+    print(f"even demand at {share:.0%} of the rate")
+    print("policy fault calls denied unjust unjust% worst%")
+    for policy in policies:
+        for name, fault in FAULTS.items():
+            fleet, nodes = make_fleet(policy, size, rate, burst, seed)
+            fault(fleet, nodes)
+            run(fleet, nodes, rate * share / SHARE, choose_even, 1.0, seconds, seed)
+            calls = {n: fleet.given[n] + fleet.denied[n] for n in ORGANISATIONS}
+            total, unjust = sum(calls.values()), sum(fleet.unjust.values())
+            worst = min(fleet.given[n] / calls[n] for n in ORGANISATIONS)
+            print(
+                f"{policy:14} {name:13} {total:6} {sum(fleet.denied.values()):6} "
+                f"{unjust:6} {unjust / total:8.3%} {worst:8.2%}",
+                flush=True,
+            )
+
+
 def messages(sizes=(8, 32, 128), seconds=4, rate_per_node=2.5, seed=1):
     print("nodes msgs/s/node bytes/s/node platform-calls/node denied unjust calls")
     for size in sizes:
@@ -137,4 +192,4 @@
 
 
 if __name__ == "__main__":
-    Fire({"refusals": refusals, "messages": messages})
+    Fire({"refusals": refusals, "faults": faults, "messages": messages})
