--- a/src/monsoonmill/decisions/quota_escrow.py
+++ b/src/monsoonmill/decisions/quota_escrow.py
@@ -7,16 +7,14 @@
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.held_tokens import HeldLoan
-from monsoonmill.decisions.loans import OwnRates
 from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.quota_held import HeldOrganisation, HeldQuota
+from monsoonmill.decisions.quota_sliced import SlicedQuota
 from monsoonmill.decisions.signals import (
-    PlatformDone,
-    PlatformFailed,
     Received,
     Send,
 )
-from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN, SliceTable
+from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN
 from monsoonmill.messages import Loan, LoanRequest, LoanReturn
 from monsoonmill.settings import QuotaSettings
 
@@ -53,7 +51,7 @@
     ask_after: float = float("-inf")
 
 
-class EscrowQuota(HeldQuota):
+class EscrowQuota(SlicedQuota, HeldQuota):
     """Every slice is owned by one node and lent to one holder at a time."""
 
     def __init__(
@@ -65,77 +63,23 @@
         counters: Counters,
     ):
         super().__init__(cfg, members, view, rng, counters)
-        self.slices = SliceTable(cfg, members, rng)
-        self.own = OwnRates(cfg, self.slices)
         self._lenders: dict[tuple[str, str], Lender] = {}
-        self._leaving = False
 
     def handlers(self):
         """Return the handlers of this decision."""
         return {
             **super().handlers(),
-            PlatformDone: self.on_platform_done,
-            PlatformFailed: self.on_platform_failed,
             LoanRequest: self.on_loan_request,
             Loan: self.on_loan,
             LoanReturn: self.on_loan_return,
         }
 
-    @property
-    def in_progress(self):
-        """Number of slices that a leaving node has yet to give back."""
-        return self.slices.held if self._leaving else 0
-
-    def start(self, now):
-        """Begin to claim slices."""
-        yield from super().start(now)
-        yield from self.slices.start(now)
-
-    # Slices.
-    def on_platform_done(self, signal, now):
-        """Take the end of a call for slices."""
-        yield from self.slices.on_platform_done(signal, now)
-        self._follow_slices(now)
-
-    def on_platform_failed(self, signal, now):
-        """Take the failure of a call for slices."""
-        yield from self.slices.on_platform_failed(signal, now)
-        self._follow_slices(now)
-
-    def _follow_slices(self, now):
-        if self.own.has_changed(now):
-            self.own.update(self.view.config.organisations, now)
-
-    def on_config_changed(self, signal, now):
-        """Follow changes of rates and bursts."""
-        self.own.update(signal.new.organisations, now)
-        yield from super().on_config_changed(signal, now)
-
     def on_members_changed(self, signal, now):
-        """Hand over what has another holder, and balance the slices."""
+        """Forget lenders that are gone."""
         yield from super().on_members_changed(signal, now)
-        yield from self.slices.on_members_changed(now)
         for key in [key for key in self._lenders if not self.members.find(key[1])]:
             del self._lenders[key]
 
-    def on_self_leaving(self, signal, now):
-        """Return loans and give the slices back."""
-        self._leaving = True
-        yield from super().on_self_leaving(signal, now)
-        yield from self.slices.release_all(now)
-        self._follow_slices(now)
-
-    def next_due(self):
-        """Return when the next timer is due."""
-        times = (super().next_due(), self.slices.next_due())
-        return min((due for due in times if due is not None), default=None)
-
-    def tick(self, now):
-        """Run the timers of slices, loans and calls."""
-        yield from self.slices.tick(now)
-        self._follow_slices(now)
-        yield from super().tick(now)
-
     def on_timer(self, key, now):
         """Act on one timer."""
         if isinstance(key, RenewTimer):
@@ -143,14 +87,10 @@
         else:
             yield from super().on_timer(key, now)
 
-    # Spending from the own slices.
+    # Spending.
     def take(self, demand, now):
         """Spend a granted token, or one of the own slices that are not lent."""
-        return super().take(demand, now) or self.own.take(demand.organisation, now)
-
-    def wait_s(self, demand, now):
-        """Return how long until the own slices have a token."""
-        return self.own.wait_s(demand.organisation, now)
+        return demand.take_granted(now) or super().take(demand, now)
 
     def ask(self, demand, now):
         """Ask the holder unless the own slices are enough."""
@@ -249,11 +189,3 @@
         for (organisation, _), lender in self._lenders.items():
             if organisation == name:
                 lender.sequence = 0
-
-    def status(self):
-        """Return the slices and loans beside what the holder grants."""
-        return {
-            **super().status(),
-            "slices": self.slices.status(),
-            "loans": self.own.status(),
-        }
--- a/src/monsoonmill/decisions/quota_held.py
+++ b/src/monsoonmill/decisions/quota_held.py
@@ -14,9 +14,7 @@
 from monsoonmill.decisions.rendezvous import first_member
 from monsoonmill.decisions.signals import (
     ConfigChanged,
-    MembersChanged,
     Received,
-    SelfLeaving,
     Send,
 )
 from monsoonmill.decisions.token_bucket import TokenBucket
@@ -74,9 +72,7 @@
         rng: Random,
         counters: Counters,
     ):
-        super().__init__(cfg, view, counters)
-        self.members = members
-        self.rng = rng
+        super().__init__(cfg, members, view, rng, counters)
         self.sequences = count(rng.getrandbits(SEQUENCE_BITS))
         self.held: dict[str, HeldOrganisation] = {}
         self.grants_from = float("-inf")
@@ -107,14 +103,12 @@
             TokenRequest: self.on_token_request,
             TokenGrant: self.on_token_grant,
             TokenReturn: self.on_token_return,
-            MembersChanged: self.on_members_changed,
-            SelfLeaving: self.on_self_leaving,
         }
 
     def start(self, now):
         """Let the tokens that a former process here granted lapse first."""
         self.grants_from = now + self.cfg.grant_term_ms / 1000
-        return ()
+        yield from super().start(now)
 
     # Choice of the holder.
     def holder(self, organisation: str) -> str:
@@ -137,6 +131,7 @@
 
     def on_members_changed(self, signal, now):
         """Hand organisations over that have another holder now."""
+        yield from super().on_members_changed(signal, now)
         self._holders.clear()
         for name, held in self.held.items():
             if not self.is_holder(name):
@@ -145,6 +140,7 @@
     def on_self_leaving(self, signal, now):
         """Be no holder any more."""
         yield from self.on_members_changed(signal, now)
+        yield from super().on_self_leaving(signal, now)
 
     # Asking.
     def take(self, demand, now):
--- a/src/monsoonmill/decisions/quota_parking.py
+++ b/src/monsoonmill/decisions/quota_parking.py
@@ -2,14 +2,18 @@
 
 from abc import abstractmethod
 from collections import deque
+from random import Random
 
 from attrs import define, field, frozen
 
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.configuration import ConfigView
+from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.quota import Quota
 from monsoonmill.decisions.signals import (
     ConfigChanged,
+    MembersChanged,
+    SelfLeaving,
     TokenDenied,
     TokenGiven,
     TokenWanted,
@@ -73,13 +77,22 @@
 
     Parameters
     ----------
-    part : Decision
-        Any part whose signals and timers this one also carries.
+    members : Membership
+        The nodes among which the rates are divided.
     """
 
-    def __init__(self, cfg: QuotaSettings, view: ConfigView, counters: Counters):
+    def __init__(
+        self,
+        cfg: QuotaSettings,
+        members: Membership,
+        view: ConfigView,
+        rng: Random,
+        counters: Counters,
+    ):
         self.cfg = cfg
+        self.members = members
         self.view = view
+        self.rng = rng
         self.counters = counters
         self.timers = Timers()
         self._demands: dict[str, Demand] = {}
@@ -103,7 +116,20 @@
 
     def handlers(self):
         """Return the handlers of this decision."""
-        return {**super().handlers(), ConfigChanged: self.on_config_changed}
+        return {
+            **super().handlers(),
+            ConfigChanged: self.on_config_changed,
+            MembersChanged: self.on_members_changed,
+            SelfLeaving: self.on_self_leaving,
+        }
+
+    def on_members_changed(self, signal: MembersChanged | SelfLeaving, now: float):
+        """Yield what follows from another set of nodes."""
+        return ()
+
+    def on_self_leaving(self, signal: SelfLeaving, now: float):
+        """Yield what hands this node's part over."""
+        return ()
 
     def on_config_changed(self, signal: ConfigChanged, now: float):
         """Forget organisations that are gone; their calls are denied in time."""
--- a/src/monsoonmill/decisions/quota_variants.py
+++ b/src/monsoonmill/decisions/quota_variants.py
@@ -7,19 +7,16 @@
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.held_tokens import HeldLoan
-from monsoonmill.decisions.loans import OwnRates
 from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.quota_held import HeldOrganisation, HeldQuota
-from monsoonmill.decisions.quota_parking import ParkingQuota
+from monsoonmill.decisions.quota_sliced import SlicedQuota
 from monsoonmill.decisions.signals import (
-    MembersChanged,
     PlatformDone,
     PlatformFailed,
     PlatformLease,
     PlatformSwap,
-    SelfLeaving,
 )
-from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN, SliceTable
+from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN
 from monsoonmill.settings import QuotaSettings
 
 HOLDER_PREFIX = "token-holders/"
@@ -30,82 +27,9 @@
 """Lender of the whole rate."""
 
 
-class FixedSlicesQuota(ParkingQuota):
+class FixedSlicesQuota(SlicedQuota):
     """Every node spends from its own slices alone."""
 
-    def __init__(
-        self,
-        cfg: QuotaSettings,
-        members: Membership,
-        view: ConfigView,
-        rng: Random,
-        counters: Counters,
-    ):
-        super().__init__(cfg, view, counters)
-        self.slices = SliceTable(cfg, members, rng)
-        self.own = OwnRates(cfg, self.slices)
-
-    def handlers(self):
-        """Return the handlers of this decision."""
-        return {
-            **super().handlers(),
-            PlatformDone: self.on_platform_done,
-            PlatformFailed: self.on_platform_failed,
-            MembersChanged: self.on_members_changed,
-            SelfLeaving: self.on_self_leaving,
-        }
-
-    def start(self, now):
-        """Begin to claim slices."""
-        yield from self.slices.start(now)
-
-    def take(self, demand, now):
-        """Spend a token of the own slices."""
-        return self.own.take(demand.organisation, now)
-
-    def wait_s(self, demand, now):
-        """Return how long until the own slices have a token."""
-        return self.own.wait_s(demand.organisation, now)
-
-    def on_platform_done(self, signal, now):
-        """Take the end of a call for slices."""
-        yield from self.slices.on_platform_done(signal, now)
-        self._follow(now)
-
-    def on_platform_failed(self, signal, now):
-        """Take the failure of a call for slices."""
-        yield from self.slices.on_platform_failed(signal, now)
-        self._follow(now)
-
-    def on_members_changed(self, signal, now):
-        """Balance the slices."""
-        yield from self.slices.on_members_changed(now)
-
-    def on_self_leaving(self, signal, now):
-        """Give the slices back."""
-        yield from self.slices.release_all(now)
-        self._follow(now)
-
-    def on_config_changed(self, signal, now):
-        """Follow changes of rates and bursts."""
-        self.own.update(signal.new.organisations, now)
-        return super().on_config_changed(signal, now)
-
-    def next_due(self):
-        """Return when the next timer is due."""
-        times = (super().next_due(), self.slices.next_due())
-        return min((due for due in times if due is not None), default=None)
-
-    def tick(self, now):
-        """Run the timers of slices and calls."""
-        yield from self.slices.tick(now)
-        self._follow(now)
-        yield from super().tick(now)
-
-    def _follow(self, now):
-        if self.own.has_changed(now):
-            self.own.update(self.view.config.organisations, now)
-
 
 @define
 class HolderKey:
@@ -197,7 +121,7 @@
                 for name, key in self._keys.items()
                 if key.request == signal.request
             ]
-        for name in owned:
+        for name in self.held.keys() & owned:
             self._keys[name].request = ""
             self._keys[name].is_owned = True
             yield from self._use(self.held[name], now)
@@ -216,7 +140,8 @@
         for name, key in self._keys.items():
             if key.request and key.request == signal.request:
                 key.request = ""
-                yield from self.serve_pending(self.held[name], now)
+                if name in self.held:
+                    yield from self.serve_pending(self.held[name], now)
 
     def on_timer(self, key, now):
         """Act on one timer."""
