--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -11,6 +11,7 @@
 from monsoonmill.decisions.poison import NoPoison, PoisonGuard
 from monsoonmill.decisions.quota import Quota, UnlimitedQuota
 from monsoonmill.decisions.quota_escrow import EscrowQuota
+from monsoonmill.decisions.quota_parking import QuotaParts
 from monsoonmill.decisions.quota_variants import FixedSlicesQuota, SingleHolderQuota
 from monsoonmill.settings import Settings
 
@@ -32,7 +33,7 @@
     name = cfg.policy.quota
     if name == "unlimited":
         return UnlimitedQuota()
-    return BOUNDED_QUOTAS[name](cfg.quota, members, view, rng, counters)
+    return BOUNDED_QUOTAS[name](QuotaParts(cfg.quota, members, view, rng, counters))
 
 
 def make_claims(
--- a/src/monsoonmill/decisions/quota_escrow.py
+++ b/src/monsoonmill/decisions/quota_escrow.py
@@ -1,14 +1,10 @@
 """Escrow: nodes own slices of all rates and lend them to the token holders."""
 
-from random import Random
+from attrs import define
 
-from attrs import define, frozen
-
-from monsoonmill.counters import Counters
-from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.held_tokens import HeldLoan
-from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.quota_held import HeldOrganisation, HeldQuota
+from monsoonmill.decisions.quota_parking import QuotaParts, QuotaTimer
 from monsoonmill.decisions.quota_sliced import SlicedQuota
 from monsoonmill.decisions.signals import (
     Received,
@@ -16,7 +12,6 @@
 )
 from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN
 from monsoonmill.messages import Loan, LoanRequest, LoanReturn
-from monsoonmill.settings import QuotaSettings
 
 ASK_LENDER_EVERY_S = 0.2
 EMPTY_LENDER_TERMS = 4
@@ -27,12 +22,9 @@
 """Share of its term after which a loan is renewed."""
 
 
-@frozen
-class RenewTimer:
+class RenewTimer(QuotaTimer):
     """Timer of the renewal of an organisation's loans."""
 
-    organisation: str
-
 
 @define
 class Lender:
@@ -54,15 +46,8 @@
 class EscrowQuota(SlicedQuota, HeldQuota):
     """Every slice is owned by one node and lent to one holder at a time."""
 
-    def __init__(
-        self,
-        cfg: QuotaSettings,
-        members: Membership,
-        view: ConfigView,
-        rng: Random,
-        counters: Counters,
-    ):
-        super().__init__(cfg, members, view, rng, counters)
+    def __init__(self, parts: QuotaParts):
+        super().__init__(parts)
         self._lenders: dict[tuple[str, str], Lender] = {}
 
     def handlers(self):
--- a/src/monsoonmill/decisions/quota_held.py
+++ b/src/monsoonmill/decisions/quota_held.py
@@ -2,15 +2,11 @@
 
 from abc import abstractmethod
 from itertools import count
-from random import Random
 
-from attrs import define, field, frozen
+from attrs import define, field
 
-from monsoonmill.counters import Counters
-from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.held_tokens import HeldTokens
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.quota_parking import ParkingQuota
+from monsoonmill.decisions.quota_parking import ParkingQuota, QuotaParts, QuotaTimer
 from monsoonmill.decisions.rendezvous import first_member
 from monsoonmill.decisions.signals import (
     ConfigChanged,
@@ -26,7 +22,6 @@
 )
 from monsoonmill.messages import TokenGrant, TokenRequest, TokenReturn
 from monsoonmill.model import MemberState, Organisation
-from monsoonmill.settings import QuotaSettings
 
 SEQUENCE_BITS = 62
 LEAST_RETRY_S = 0.02
@@ -37,12 +32,9 @@
 """A request waits this long at the holder for tokens on their way to it."""
 
 
-@frozen
-class AnswerTimer:
+class AnswerTimer(QuotaTimer):
     """Timer after which the holder answers with what it has."""
 
-    organisation: str
-
 
 @define(eq=False)
 class HeldOrganisation:
@@ -64,16 +56,9 @@
 class HeldQuota(ParkingQuota):
     """Asks the holder for tokens, and grants them where it is the holder."""
 
-    def __init__(
-        self,
-        cfg: QuotaSettings,
-        members: Membership,
-        view: ConfigView,
-        rng: Random,
-        counters: Counters,
-    ):
-        super().__init__(cfg, members, view, rng, counters)
-        self.sequences = count(rng.getrandbits(SEQUENCE_BITS))
+    def __init__(self, parts: QuotaParts):
+        super().__init__(parts)
+        self.sequences = count(self.rng.getrandbits(SEQUENCE_BITS))
         self.held: dict[str, HeldOrganisation] = {}
         self.grants_from = float("-inf")
         self._holders: dict[str, str] = {}
--- a/src/monsoonmill/decisions/quota_parking.py
+++ b/src/monsoonmill/decisions/quota_parking.py
@@ -30,6 +30,24 @@
 """What a caller is told when nothing is known of the next token."""
 
 
+@frozen
+class QuotaParts:
+    """What every variant is built from."""
+
+    cfg: QuotaSettings
+    members: Membership
+    view: ConfigView
+    rng: Random
+    counters: Counters
+
+
+@frozen
+class QuotaTimer:
+    """Key of a timer of one organisation; each kind of timer is a subclass."""
+
+    organisation: str
+
+
 @frozen
 class ParkedCall:
     """A call without a token."""
@@ -38,20 +56,16 @@
     give_up: float
 
 
-@frozen(eq=True)
-class ParkingTime:
+@frozen
+class ParkingTime(QuotaTimer):
     """Timer of a parked call."""
 
-    organisation: str
     call: str
 
 
-@frozen
-class LookAgain:
+class LookAgain(QuotaTimer):
     """Timer of the next own token."""
 
-    organisation: str
-
 
 @define(eq=False)
 class Demand:
@@ -75,25 +89,18 @@
 class ParkingQuota(Quota):
     """Base of the variants that bound the rate.
 
-    Parameters
+    Attributes
     ----------
     members : Membership
         The nodes among which the rates are divided.
     """
 
-    def __init__(
-        self,
-        cfg: QuotaSettings,
-        members: Membership,
-        view: ConfigView,
-        rng: Random,
-        counters: Counters,
-    ):
-        self.cfg = cfg
-        self.members = members
-        self.view = view
-        self.rng = rng
-        self.counters = counters
+    def __init__(self, parts: QuotaParts):
+        self.cfg = parts.cfg
+        self.members = parts.members
+        self.view = parts.view
+        self.rng = parts.rng
+        self.counters = parts.counters
         self.timers = Timers()
         self._demands: dict[str, Demand] = {}
         self._parked = 0
--- a/src/monsoonmill/decisions/quota_sliced.py
+++ b/src/monsoonmill/decisions/quota_sliced.py
@@ -1,31 +1,18 @@
 """Base of the variants in which nodes own slices of all rates."""
 
-from random import Random
-
-from monsoonmill.counters import Counters
-from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.loans import OwnRates
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.quota_parking import ParkingQuota
+from monsoonmill.decisions.quota_parking import ParkingQuota, QuotaParts
 from monsoonmill.decisions.signals import PlatformDone, PlatformFailed
 from monsoonmill.decisions.slices import SliceTable
-from monsoonmill.settings import QuotaSettings
 
 
 class SlicedQuota(ParkingQuota):
     """Owns slices, and spends from those that are not lent."""
 
-    def __init__(
-        self,
-        cfg: QuotaSettings,
-        members: Membership,
-        view: ConfigView,
-        rng: Random,
-        counters: Counters,
-    ):
-        super().__init__(cfg, members, view, rng, counters)
-        self.slices = SliceTable(cfg, members, rng)
-        self.own = OwnRates(cfg, self.slices)
+    def __init__(self, parts: QuotaParts):
+        super().__init__(parts)
+        self.slices = SliceTable(self.cfg, self.members, self.rng)
+        self.own = OwnRates(self.cfg, self.slices)
         self._leaving = False
 
     def handlers(self):
--- a/src/monsoonmill/decisions/quota_variants.py
+++ b/src/monsoonmill/decisions/quota_variants.py
@@ -1,14 +1,10 @@
 """Simpler variants of the quota, to compare with."""
 
-from random import Random
-
 from attrs import define
 
-from monsoonmill.counters import Counters
-from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.held_tokens import HeldLoan
-from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.quota_held import HeldOrganisation, HeldQuota
+from monsoonmill.decisions.quota_parking import QuotaParts
 from monsoonmill.decisions.quota_sliced import SlicedQuota
 from monsoonmill.decisions.signals import (
     PlatformDone,
@@ -17,7 +13,6 @@
     PlatformSwap,
 )
 from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN
-from monsoonmill.settings import QuotaSettings
 
 HOLDER_PREFIX = "token-holders/"
 HOLDER_LEASE_S = 10.0
@@ -51,16 +46,9 @@
 class SingleHolderQuota(HeldQuota):
     """One holder per organisation has the whole rate by a lease."""
 
-    def __init__(
-        self,
-        cfg: QuotaSettings,
-        members: Membership,
-        view: ConfigView,
-        rng: Random,
-        counters: Counters,
-    ):
-        super().__init__(cfg, members, view, rng, counters)
-        own = members.own
+    def __init__(self, parts: QuotaParts):
+        super().__init__(parts)
+        own = self.members.own
         self._lease = f"holders/{own.address}/{own.incarnation}"
         self._owner = str(own.address).encode()
         self._leased_until = float("-inf")
--- a/src/monsoonmill/decisions/token_requests.py
+++ b/src/monsoonmill/decisions/token_requests.py
@@ -2,11 +2,11 @@
 
 from collections import deque
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.quota_parking import Demand
+from monsoonmill.decisions.quota_parking import Demand, QuotaTimer
 from monsoonmill.decisions.signals import Send
 from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN
 from monsoonmill.decisions.timers import Timers
@@ -37,26 +37,21 @@
     holder: str
 
 
-@define(frozen=True)
-class RestTimer:
+class RestTimer(QuotaTimer):
     """Timer after which an organisation's holder is asked again."""
 
-    organisation: str
 
-
-@define(frozen=True)
-class LapseTimer:
+@frozen
+class LapseTimer(QuotaTimer):
     """Timer after which the tokens of a grant are given back."""
 
-    organisation: str
     sequence: int
 
 
-@define(frozen=True)
-class SilenceTimer:
+@frozen
+class SilenceTimer(QuotaTimer):
     """Timer after which an answer is no longer waited for."""
 
-    organisation: str
     sequence: int
 
 
--- a/tests/test_mutants_quota.py
+++ b/tests/test_mutants_quota.py
@@ -31,10 +31,10 @@
 
 
 class SuccessorDoesNotWait(EscrowQuota):
-    def __init__(self, cfg, members, view, rng, counters):
-        super().__init__(cfg, members, view, rng, counters)
-        self.slices = EagerSlices(cfg, members, rng)
-        self.own = OwnRates(cfg, self.slices)
+    def __init__(self, parts):
+        super().__init__(parts)
+        self.slices = EagerSlices(self.cfg, self.members, self.rng)
+        self.own = OwnRates(self.cfg, self.slices)
 
 
 class FreshSlicesAreFull(EscrowQuota):
@@ -67,10 +67,10 @@
 
 
 class LeaseCountsTooLong(EscrowQuota):
-    def __init__(self, cfg, members, view, rng, counters):
-        super().__init__(cfg, members, view, rng, counters)
-        self.slices = LateLeaseCounts(cfg, members, rng)
-        self.own = OwnRates(cfg, self.slices)
+    def __init__(self, parts):
+        super().__init__(parts)
+        self.slices = LateLeaseCounts(self.cfg, self.members, self.rng)
+        self.own = OwnRates(self.cfg, self.slices)
 
 
 def flood(fleet, seconds, nodes=None):
