--- a/src/monsoonmill/decisions/quota_held.py
+++ b/src/monsoonmill/decisions/quota_held.py
@@ -2,21 +2,15 @@
 
 from abc import abstractmethod
 from itertools import count
-from random import Random
 
-from attrs import define, field, frozen
+from attrs import define, field
 
-from monsoonmill.counters import Counters
-from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.held_tokens import HeldTokens
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.quota_parking import ParkingQuota
+from monsoonmill.decisions.quota_parking import ParkingQuota, QuotaParts, QuotaTimer
 from monsoonmill.decisions.rendezvous import first_member
 from monsoonmill.decisions.signals import (
     ConfigChanged,
-    MembersChanged,
     Received,
-    SelfLeaving,
     Send,
 )
 from monsoonmill.decisions.token_bucket import TokenBucket
@@ -28,7 +22,6 @@
 )
 from monsoonmill.messages import TokenGrant, TokenRequest, TokenReturn
 from monsoonmill.model import MemberState, Organisation
-from monsoonmill.settings import QuotaSettings
 
 SEQUENCE_BITS = 62
 LEAST_RETRY_S = 0.02
@@ -39,12 +32,9 @@
 """A request waits this long at the holder for tokens on their way to it."""
 
 
-@frozen
-class AnswerTimer:
+class AnswerTimer(QuotaTimer):
     """Timer after which the holder answers with what it has."""
 
-    organisation: str
-
 
 @define(eq=False)
 class HeldOrganisation:
@@ -66,18 +56,9 @@
 class HeldQuota(ParkingQuota):
     """Asks the holder for tokens, and grants them where it is the holder."""
 
-    def __init__(
-        self,
-        cfg: QuotaSettings,
-        members: Membership,
-        view: ConfigView,
-        rng: Random,
-        counters: Counters,
-    ):
-        super().__init__(cfg, view, counters)
-        self.members = members
-        self.rng = rng
-        self.sequences = count(rng.getrandbits(SEQUENCE_BITS))
+    def __init__(self, parts: QuotaParts):
+        super().__init__(parts)
+        self.sequences = count(self.rng.getrandbits(SEQUENCE_BITS))
         self.held: dict[str, HeldOrganisation] = {}
         self.grants_from = float("-inf")
         self._holders: dict[str, str] = {}
@@ -107,14 +88,12 @@
             TokenRequest: self.on_token_request,
             TokenGrant: self.on_token_grant,
             TokenReturn: self.on_token_return,
-            MembersChanged: self.on_members_changed,
-            SelfLeaving: self.on_self_leaving,
         }
 
     def start(self, now):
         """Let the tokens that a former process here granted lapse first."""
         self.grants_from = now + self.cfg.grant_term_ms / 1000
-        return ()
+        yield from super().start(now)
 
     # Choice of the holder.
     def holder(self, organisation: str) -> str:
@@ -137,6 +116,7 @@
 
     def on_members_changed(self, signal, now):
         """Hand organisations over that have another holder now."""
+        yield from super().on_members_changed(signal, now)
         self._holders.clear()
         for name, held in self.held.items():
             if not self.is_holder(name):
@@ -145,6 +125,7 @@
     def on_self_leaving(self, signal, now):
         """Be no holder any more."""
         yield from self.on_members_changed(signal, now)
+        yield from super().on_self_leaving(signal, now)
 
     # Asking.
     def take(self, demand, now):
--- a/src/monsoonmill/decisions/quota_parking.py
+++ b/src/monsoonmill/decisions/quota_parking.py
@@ -2,14 +2,18 @@
 
 from abc import abstractmethod
 from collections import deque
+from random import Random
 
 from attrs import define, field, frozen
 
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.configuration import ConfigView
+from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.quota import Quota
 from monsoonmill.decisions.signals import (
     ConfigChanged,
+    MembersChanged,
+    SelfLeaving,
     TokenDenied,
     TokenGiven,
     TokenWanted,
@@ -26,6 +30,24 @@
 """What a caller is told when nothing is known of the next token."""
 
 
+@frozen
+class QuotaParts:
+    """What every variant is built from."""
+
+    cfg: QuotaSettings
+    members: Membership
+    view: ConfigView
+    rng: Random
+    counters: Counters
+
+
+@frozen
+class QuotaTimer:
+    """Key of a timer of one organisation; each kind of timer is a subclass."""
+
+    organisation: str
+
+
 @frozen
 class ParkedCall:
     """A call without a token."""
@@ -34,20 +56,16 @@
     give_up: float
 
 
-@frozen(eq=True)
-class ParkingTime:
+@frozen
+class ParkingTime(QuotaTimer):
     """Timer of a parked call."""
 
-    organisation: str
     call: str
 
 
-@frozen
-class LookAgain:
+class LookAgain(QuotaTimer):
     """Timer of the next own token."""
 
-    organisation: str
-
 
 @define(eq=False)
 class Demand:
@@ -71,16 +89,18 @@
 class ParkingQuota(Quota):
     """Base of the variants that bound the rate.
 
-    Parameters
+    Attributes
     ----------
-    part : Decision
-        Any part whose signals and timers this one also carries.
+    members : Membership
+        The nodes among which the rates are divided.
     """
 
-    def __init__(self, cfg: QuotaSettings, view: ConfigView, counters: Counters):
-        self.cfg = cfg
-        self.view = view
-        self.counters = counters
+    def __init__(self, parts: QuotaParts):
+        self.cfg = parts.cfg
+        self.members = parts.members
+        self.view = parts.view
+        self.rng = parts.rng
+        self.counters = parts.counters
         self.timers = Timers()
         self._demands: dict[str, Demand] = {}
         self._parked = 0
@@ -103,7 +123,20 @@
 
     def handlers(self):
         """Return the handlers of this decision."""
-        return {**super().handlers(), ConfigChanged: self.on_config_changed}
+        return {
+            **super().handlers(),
+            ConfigChanged: self.on_config_changed,
+            MembersChanged: self.on_members_changed,
+            SelfLeaving: self.on_self_leaving,
+        }
+
+    def on_members_changed(self, signal: MembersChanged | SelfLeaving, now: float):
+        """Yield what follows from another set of nodes."""
+        return ()
+
+    def on_self_leaving(self, signal: SelfLeaving, now: float):
+        """Yield what hands this node's part over."""
+        return ()
 
     def on_config_changed(self, signal: ConfigChanged, now: float):
         """Forget organisations that are gone; their calls are denied in time."""
