--- a/tests/claims_fleet.py
+++ b/tests/claims_fleet.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from monsoonmill.decisions.claims_paired import PairedClaims
 from monsoonmill.decisions.signals import (
     Answer,
     DrainRequested,
@@ -97,13 +98,17 @@
         is_known = len(versions) == 1 and set(members) == {len(self.nodes)}
         return serving == self.sections["claims"]["partitions"] and is_known
 
-    def primary_of(self, key, organisation="branch"):
-        """Return the names of the holders of a key's claim."""
-        newest = max(
-            (node.core.claims.keeper for node in self.nodes.values()),
-            key=lambda keeper: keeper.version,
-        )
-        partition = newest.claim_map.partition(organisation, key)
+    def record_of(self, key):
+        """Return the newest record of a key's partition that any node knows."""
+        keepers = [
+            node.core.claims.keeper
+            for node in self.nodes.values()
+            if isinstance(node.core.claims, PairedClaims)
+        ]
+        newest = max(keepers, key=lambda keeper: keeper.version, default=None)
+        if newest is None or newest.claim_map is None:
+            return None
+        partition = newest.claim_map.partition("branch", key)
         return newest.claim_map.records[partition]
 
     def answer(self, name):
@@ -174,7 +179,7 @@
 
 def wait_until_prepared(fleet):
     """Let a backup leave until its primary is about to change the record."""
-    backup = fleet.primary_of("k").backup
+    backup = fleet.record_of("k").backup
     fleet.give(fleet.nodes[backup.node], DrainRequested())
     found = []
 
--- a/tests/claims_machine.py
+++ b/tests/claims_machine.py
@@ -7,98 +7,151 @@
 from tests.claims_fleet import ClaimsFleet
 
 MAX_NODES = 7
-KEYS = ("a", "b", "c")
-PAUSES_S = (0.05, 0.3, 1.0, 3.0, 8.0, 25.0)
+KEYS = st.sampled_from(("a", "b", "c"))
+NODES = st.integers(0, MAX_NODES - 1)
+WAITS_S = st.sampled_from((0.0, 0.02, 0.3, 1.0, 3.0, 8.0))
 
 
 class ClaimsMachine(RuleBasedStateMachine):
     """Sends and re-sends keys while everything around them fails."""
 
+    fleet_class = ClaimsFleet
+
     def __init__(self):
         super().__init__()
         self.fleet = None
 
-    @initialize(size=st.integers(1, 5), seed=st.integers(1, 1000))
+    @initialize(size=st.integers(1, 6), seed=st.integers(1, 1000))
     def begin(self, size, seed):
-        self.fleet = ClaimsFleet(size, seed=seed)
-        self.fleet.advance(4)
+        self.fleet = self.fleet_class(size, seed=seed)
+        self.fleet.advance(5)
 
     def node(self, number):
         nodes = list(self.fleet.nodes.values())
         return nodes[number % len(nodes)]
 
-    @rule(key=st.sampled_from(KEYS), numbers=st.lists(st.integers(0, 6), min_size=1))
-    def send(self, key, numbers):
-        for number in numbers[:4]:
-            self.fleet.pledge(self.node(number), key)
+    def holder(self, key, is_primary):
+        """Return a live holder of a key's claim, if there is one."""
+        record = self.fleet.record_of(key)
+        if record is None:
+            return None
+        holder = record.primary if is_primary else record.backup
+        return self.fleet.nodes.get(holder.node) if holder else None
+
+    # Callers.
+    @rule(key=KEYS, number=NODES, wait_s=WAITS_S)
+    def send(self, key, number, wait_s):
+        self.fleet.pledge(self.node(number), key)
+        self.fleet.advance(wait_s)
+
+    @rule(key=KEYS, wait_s=WAITS_S)
+    def send_to_all(self, key, wait_s):
+        for node in list(self.fleet.nodes.values()):
+            self.fleet.pledge(node, key)
+        self.fleet.advance(wait_s)
+
+    @rule(
+        key=KEYS,
+        number=NODES,
+        failure=st.sampled_from(
+            (RunFailure.CONNECTION_LOST, RunFailure.NOT_SENT, RunFailure.TIMED_OUT)
+        ),
+    )
+    def send_and_lose_the_answer(self, key, number, failure):
+        self.fleet.backend = failure
+        self.fleet.pledge(self.node(number), key)
+        self.fleet.advance(0.5)
+        self.fleet.backend = None
+
+    @rule(delay_s=st.sampled_from((0.01, 0.01, 1.0, 4.0)))
+    def change_speed(self, delay_s):
+        self.fleet.delay_s = delay_s
 
-    @rule(number=st.integers(0, 6))
-    def kill(self, number):
+    # Hosts.
+    @rule(number=NODES, wait_s=WAITS_S)
+    def kill(self, number, wait_s):
         if len(self.fleet.nodes) > 1:
             self.fleet.kill(self.node(number))
+            self.fleet.advance(wait_s)
+
+    @rule(key=KEYS, is_primary=st.booleans(), wait_s=WAITS_S)
+    def kill_holder(self, key, is_primary, wait_s):
+        node = self.holder(key, is_primary)
+        if node is not None and len(self.fleet.nodes) > 1:
+            self.fleet.kill(node)
+            self.fleet.advance(wait_s)
 
-    @rule(number=st.integers(0, 6))
-    def restart(self, number):
+    @rule(number=NODES, wait_s=WAITS_S)
+    def restart(self, number, wait_s):
         node = self.node(number)
         self.fleet.kill(node)
-        self.fleet.now += 0.01
+        self.fleet.advance(0.01)
         self.fleet.add_server(port=node.address.port)
+        self.fleet.advance(wait_s)
 
-    @rule()
-    def add(self):
+    @rule(wait_s=WAITS_S)
+    def add(self, wait_s):
         if len(self.fleet.nodes) < MAX_NODES:
             self.fleet.add_server()
+            self.fleet.advance(wait_s)
 
-    @rule(number=st.integers(0, 6), limit_s=st.sampled_from((2.0, 10.0)))
-    def drain(self, number, limit_s):
+    @rule(number=NODES, limit_s=st.sampled_from((2.0, 10.0)))
+    def replace(self, number, limit_s):
         node = self.node(number)
-        if len(self.fleet.nodes) > 1 and not node.is_paused:
-            self.fleet.give(node, DrainRequested())
-            self.fleet.advance_until(lambda: node.drained, limit_s)
-            self.fleet.kill(node)
+        self.fleet.add_server()
+        self.fleet.advance(1.0)
+        self.fleet.give(node, DrainRequested())
+        self.fleet.advance_until(lambda: node.drained, limit_s)
+        self.fleet.kill(node)
 
-    @rule(numbers=st.sets(st.integers(0, 6), min_size=1, max_size=4))
-    def split(self, numbers):
-        inside = {self.node(number).name for number in numbers}
-        for one in inside:
-            for other in set(self.fleet.nodes) - inside:
-                self.fleet.cut.add(frozenset((one, other)))
+    @rule(number=NODES, wait_s=WAITS_S)
+    def pause(self, number, wait_s):
+        self.fleet.pause(self.node(number))
+        self.fleet.advance(wait_s)
 
     @rule()
-    def heal(self):
-        self.fleet.cut.clear()
-        self.fleet.hides_platform_from.clear()
-
-    @rule(number=st.integers(0, 6))
-    def hide_platform(self, number):
-        self.fleet.hides_platform_from.add(self.node(number).name)
+    def resume(self):
+        for node in list(self.fleet.nodes.values()):
+            if node.is_paused:
+                self.fleet.resume(node)
 
-    @rule(is_down=st.booleans(), loses=st.booleans())
-    def change_platform(self, is_down, loses):
-        self.fleet.platform.is_down = is_down
-        self.fleet.platform.loses_answers = loses
+    # Links and the platform.
+    @rule(key=KEYS)
+    def cut_pair(self, key):
+        record = self.fleet.record_of(key)
+        if record is not None and record.backup is not None:
+            self.fleet.cut.add(frozenset((record.primary.node, record.backup.node)))
 
     @rule(
-        failure=st.sampled_from(
-            (None, None, RunFailure.CONNECTION_LOST, RunFailure.NOT_SENT)
-        ),
-        delay_s=st.sampled_from((0.01, 0.5, 4.0, 30.0)),
+        numbers=st.sets(NODES, min_size=1, max_size=3),
+        hides=st.booleans(),
+        wait_s=WAITS_S,
     )
-    def change_backend(self, failure, delay_s):
-        self.fleet.backend = failure
-        self.fleet.delay_s = delay_s
+    def split(self, numbers, hides, wait_s):
+        inside = {self.node(number).name for number in numbers}
+        for one in inside:
+            for other in set(self.fleet.nodes) - inside:
+                self.fleet.cut.add(frozenset((one, other)))
+        if hides:
+            self.fleet.hides_platform_from |= inside
+        self.fleet.advance(wait_s)
 
-    @rule(number=st.integers(0, 6))
-    def pause(self, number):
-        self.fleet.pause(self.node(number))
+    @rule(is_down=st.booleans(), wait_s=WAITS_S)
+    def fail_platform(self, is_down, wait_s):
+        self.fleet.platform.is_down = is_down
+        self.fleet.platform.loses_answers = not is_down
+        self.fleet.advance(wait_s)
 
-    @rule()
-    def resume(self):
-        for node in list(self.fleet.nodes.values()):
-            if node.is_paused:
-                self.fleet.resume(node)
+    @rule(wait_s=WAITS_S)
+    def heal(self, wait_s):
+        self.fleet.cut.clear()
+        self.fleet.hides_platform_from.clear()
+        self.fleet.platform.is_down = False
+        self.fleet.platform.loses_answers = False
+        self.resume()
+        self.fleet.advance(wait_s)
 
-    @rule(seconds=st.sampled_from(PAUSES_S))
+    @rule(seconds=st.sampled_from((1.0, 5.0, 25.0)))
     def wait(self, seconds):
         self.fleet.advance(seconds)
 
--- a/tests/test_claims_paired.py
+++ b/tests/test_claims_paired.py
@@ -97,7 +97,7 @@
     fleet = ready_fleet()
     fleet.pledge(nodes_of(fleet)[0], "k")
     fleet.advance(1)
-    fleet.kill(fleet.nodes[fleet.primary_of("k").primary.node])
+    fleet.kill(fleet.nodes[fleet.record_of("k").primary.node])
     for _ in range(3):
         name = fleet.pledge(nodes_of(fleet)[0], "k")
         fleet.advance(4)
@@ -108,7 +108,7 @@
 def test_asker_that_dies_leaves_the_claim_unknown():
     fleet = ready_fleet()
     fleet.delay_s = 60.0
-    holders = {fleet.primary_of("k").primary.node, fleet.primary_of("k").backup.node}
+    holders = {fleet.record_of("k").primary.node, fleet.record_of("k").backup.node}
     asker = next(one for one in nodes_of(fleet) if one.name not in holders)
     fleet.pledge(asker, "k")
     assert fleet.advance_until(lambda: len(fleet.executed) == 1, limit_s=2.0)
@@ -123,7 +123,7 @@
 
 def test_call_that_is_abandoned_before_its_claim_is_known_may_have_run_earlier():
     fleet = ready_fleet()
-    record = fleet.primary_of("k")
+    record = fleet.record_of("k")
     split(fleet, {record.primary.node})
     node = next(one for one in nodes_of(fleet) if one.name != record.primary.node)
     name = fleet.pledge(node, "k")
@@ -135,7 +135,7 @@
     fleet = ready_fleet(6)
     fleet.pledge(nodes_of(fleet)[0], "k")
     fleet.advance(1)
-    record = fleet.primary_of("k")
+    record = fleet.record_of("k")
     for holder in (record.primary, record.backup):
         fleet.kill(fleet.nodes[holder.node])
     fleet.advance(20)
@@ -155,7 +155,7 @@
     fleet = ready_fleet()
     fleet.pledge(nodes_of(fleet)[0], "old")
     fleet.advance(1)
-    record = fleet.primary_of("old")
+    record = fleet.record_of("old")
     fleet.platform.is_down = True
     fleet.kill(fleet.nodes[record.backup.node])
     fleet.advance(5)
@@ -205,7 +205,7 @@
 
 def test_resends_on_both_sides_of_a_partition_run_once():
     fleet = ready_fleet(6, claims={"retention_s": 900})
-    record = fleet.primary_of("k")
+    record = fleet.record_of("k")
     alone = {record.primary.node}
     split(fleet, alone)
     names = [fleet.pledge(node, "k") for node in nodes_of(fleet)]
@@ -223,7 +223,7 @@
 
 def test_pair_cut_off_from_the_platform_stops_before_others_may_grant():
     fleet = ready_fleet(6)
-    record = fleet.primary_of("k")
+    record = fleet.record_of("k")
     pair = {record.primary.node, record.backup.node}
     split(fleet, pair)
     recovery_s = nodes_of(fleet)[0].core.claims.home.recovery_s
--- a/tests/test_mutants_claims.py
+++ b/tests/test_mutants_claims.py
@@ -53,7 +53,7 @@
 
 def lose_primary_before_its_backup_heard(fleet):
     """Kill the primary whose messages to the backup were lost."""
-    record = fleet.primary_of("k")
+    record = fleet.record_of("k")
     fleet.cut.add(frozenset((record.primary.node, record.backup.node)))
     holders = {record.primary.node, record.backup.node}
     asker = next(one for one in fleet.nodes.values() if one.name not in holders)
@@ -68,7 +68,7 @@
     """Kill primary and backup at once."""
     fleet.pledge(next(iter(fleet.nodes.values())), "k")
     fleet.advance(1)
-    record = fleet.primary_of("k")
+    record = fleet.record_of("k")
     for holder in (record.primary, record.backup):
         fleet.kill(fleet.nodes[holder.node])
     fleet.advance(20)
@@ -79,11 +79,11 @@
     """Kill the primary, and the one that took over as soon as it has."""
     fleet.pledge(next(iter(fleet.nodes.values())), "k")
     fleet.advance(1)
-    first = fleet.primary_of("k").primary
-    second = fleet.primary_of("k").backup
+    first = fleet.record_of("k").primary
+    second = fleet.record_of("k").backup
     fleet.kill(fleet.nodes[first.node])
     assert fleet.advance_until(
-        lambda: fleet.primary_of("k").primary == second, step_s=0.001
+        lambda: fleet.record_of("k").primary == second, step_s=0.001
     )
     fleet.cut |= {
         frozenset((second.node, other)) for other in fleet.nodes if other != second.node
