--- a/src/monsoonmill/ctl.py
+++ b/src/monsoonmill/ctl.py
@@ -66,7 +66,7 @@
         if offline:
             return f"{note.identifier}: well-formed, base revision {note.base}"
         config = self._client.config()
-        accepted = holds_note(config, note.identifier)
+        accepted = holds_note(config, note)
         if accepted is not None:
             return f"{note.identifier}: accepted already, revision {accepted}"
         changed = apply_note(config, note)
--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -14,12 +14,14 @@
 )
 from monsoonmill.decisions.contexts import ContextTable
 from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.front_door import FrontDoor
 from monsoonmill.decisions.poison import PoisonGuard
 from monsoonmill.decisions.retries import RetryLimiter
 from monsoonmill.decisions.routing import Router
 from monsoonmill.decisions.signals import (
     Answer,
     AttemptObserved,
+    AttemptStarted,
     CallArrived,
     CallerGone,
     ClaimDenied,
@@ -35,7 +37,7 @@
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import RefusedError
-from monsoonmill.messages import Cancel, Forward, Reply
+from monsoonmill.messages import Cancel, Forward, Load, Reply
 from monsoonmill.model import CallContext, Route
 from monsoonmill.reasons import Importance, Outcome, Reason, RetryReason
 from monsoonmill.settings import Settings
@@ -51,7 +53,8 @@
     Reason.BROKEN_ANSWER: RetryReason.CONNECTION_LOST,
 }
 """Failures that another backend server may not repeat."""
-NO_TRIES_LEFT = 0
+RESERVE_DIVISOR = 2
+"""A call keeps one try in so many to itself, for an attempt without a reply."""
 
 
 @frozen
@@ -80,13 +83,20 @@
     parent : str
         Context token of the parent call; empty for a call from outside.
     tries : int
-        Further tries that this call and those below it may spend.
+        Further tries that this call holds itself.
+    lent_tries : int
+        Further tries that went out with the attempt; its reply returns what is
+        left of them, and without a reply they count as spent.
     attempt : str
         Name of the attempt whose reply is awaited; empty for none.
     node : str
         Node that the attempt was sent to.
     excluded : set of str
         Nodes that have failed this call.
+    lost : int
+        Attempts whose connection broke.
+    was_suspect : bool
+        Whether the request was a suspect when the attempt was sent.
     may_have_run : bool
         Whether any attempt so far may have run, whatever became of later ones.
     """
@@ -100,12 +110,15 @@
     arrived_at: float
     parent: str = ""
     tries: int = 0
+    lent_tries: int = 0
     attempt: str = ""
     node: str = ""
     sent_at: float = 0.0
     excluded: set[str] = field(factory=set)
-    failure: Failure | None = None
+    lost: int = 0
+    was_suspect: bool = False
     may_have_run: bool = False
+    failure: Failure | None = None
     has_claim: bool = False
     chart: ChartInstance | None = None
     now: float = 0.0
@@ -116,6 +129,21 @@
         """Name of the call in this process."""
         return self.arrival.call
 
+    def lend_tries(self) -> None:
+        """Set tries apart for the next attempt and what it calls."""
+        self.lent_tries = self.tries - self.tries // RESERVE_DIVISOR
+        self.tries -= self.lent_tries
+
+    def take_back_tries(self, left: int) -> None:
+        """Take back what an attempt has not spent.
+
+        If it has spent all, what is tried again here would fail below again.
+        """
+        if self.lent_tries > 0 and left <= 0:
+            self.tries = 0
+        self.tries += min(max(left, 0), self.lent_tries)
+        self.lent_tries = 0
+
     # Guards.
     def pays_a_token(self, arg):
         """Return whether the call counts towards its organisation's rate."""
@@ -181,13 +209,13 @@
     def answer_expired(self, arg):
         """Tell the caller that the time is up."""
         outcome = self._outcome_so_far()
-        self._cancel_attempt(timed_out=True)
+        self._cancel_attempt(Reason.DEADLINE)
         self._answer(Answer(self.name, outcome, reason=Reason.DEADLINE))
 
     def abandon(self, arg):
         """Stop what is under way, since nobody waits for the answer."""
         outcome = self._outcome_so_far()
-        self._cancel_attempt(timed_out=False)
+        self._cancel_attempt(Reason.CANCELLED)
         self._answer(Answer(self.name, outcome, reason=Reason.CANCELLED))
 
     def answer_over_rate(self, denied: TokenDenied):
@@ -245,10 +273,11 @@
         is_unknown = is_open or self.chart.is_in("waiting_for_claim")
         return Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
 
-    def _cancel_attempt(self, timed_out):
+    def _cancel_attempt(self, reason):
         if self.attempt:
             self.out.append(Send(self.node, Cancel(self.attempt)))
-            self.flow.forget_attempt(self, None, timed_out)
+            failure = Failure(Outcome.UNKNOWN, reason)
+            self.flow.forget_attempt(self, failure, self.now)
 
     def _answer(self, answer):
         if self.has_claim:
@@ -280,6 +309,7 @@
         router: Router,
         contexts: ContextTable,
         poison: PoisonGuard,
+        front_door: FrontDoor,
         counters: Counters,
     ):
         self.cfg = cfg
@@ -292,6 +322,7 @@
         self._router = router
         self._contexts = contexts
         self._poison = poison
+        self._front_door = front_door
         self._numbers = count(1)
         self._calls: dict[str, Call] = {}
         self._attempts: dict[str, Call] = {}
@@ -368,7 +399,11 @@
             raise RefusedError(Reason.POISON)
         if context.deadline <= now:
             raise RefusedError(Reason.DEADLINE)
-        tries = self._contexts.take_tries(arrival.context) if arrival.context else None
+        is_nested = bool(arrival.context)
+        self._front_door.enter(context.importance, is_nested)
+        tries = self.cfg.call.tries
+        if is_nested:
+            tries = self._contexts.take_tries(arrival.context)
         return Call(
             arrival,
             route,
@@ -378,7 +413,7 @@
             self,
             now,
             parent=arrival.context,
-            tries=self.cfg.call.tries if tries is None else tries,
+            tries=tries,
         )
 
     def _root_context(self, arrival, route, caller, now):
@@ -447,8 +482,11 @@
         call.attempt = f"{self._node}/{self._incarnation}/{next(self._numbers)}"
         call.node = node
         call.sent_at = call.now
+        call.was_suspect = self._poison.is_suspect(call.fingerprint)
+        call.lend_tries()
         self._attempts[call.attempt] = call
         self._router.sent(node)
+        call.out.append(AttemptStarted(node, call.route.name))
         call.out.append(Send(node, self._forward(call)))
 
     def _forward(self, call):
@@ -462,7 +500,7 @@
             importance=context.importance,
             at_most_once=not call.route.idempotent,
             timeout_ms=max(int((context.deadline - call.now) * 1000), 1),
-            tries=call.tries,
+            tries=call.lent_tries,
             depth=context.depth,
             fingerprint=call.fingerprint,
             key=call.caller.key,
@@ -476,8 +514,8 @@
             self.counters.add("late-replies")
             return
         reply = check_whole(reply)
-        self.forget_attempt(call, reply, timed_out=False)
-        call.tries = min(call.tries, max(reply.tries, NO_TRIES_LEFT))
+        self.forget_attempt(call, reply, now, reply.load)
+        call.take_back_tries(reply.tries)
         if reply.response is not None and reply.reason is None:
             yield from self._send(call.name, "attempt_done", now, reply)
             return
@@ -489,8 +527,8 @@
         """Fail the attempts at a node whose stream broke; they may have run."""
         lost = [one for one in self._attempts.values() if one.node == signal.node]
         for call in lost:
-            self.forget_attempt(call, None, timed_out=False)
             call.failure = Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+            self.forget_attempt(call, call.failure, now)
             yield from self._fail(call, now)
 
     def on_peer_unreachable(self, signal, now):
@@ -499,26 +537,35 @@
             return
         call = self._attempts.get(signal.message.attempt)
         if call is not None:
-            self.forget_attempt(call, None, timed_out=False)
+            call.take_back_tries(call.lent_tries)
             call.failure = Failure(Outcome.NOT_RUN, Reason.UNREACHABLE)
+            self.forget_attempt(call, call.failure, now)
             yield from self._fail(call, now)
 
     def _fail(self, call, now):
         call.excluded.add(call.node)
-        if call.failure.outcome is not Outcome.NOT_RUN:
-            call.may_have_run = True
+        call.lost += call.failure.reason is Reason.CONNECTION_LOST
+        call.may_have_run |= call.failure.outcome is not Outcome.NOT_RUN
+        if call.may_have_run:
+            call.failure = evolve(call.failure, outcome=Outcome.UNKNOWN)
         yield from self._send(call.name, "attempt_failed", now)
 
-    def forget_attempt(self, call: Call, reply: Reply | None, timed_out: bool) -> None:
+    def forget_attempt(
+        self, call: Call, end: Reply | Failure, now: float, load: Load | None = None
+    ) -> None:
         """Stop to await an attempt's reply."""
         del self._attempts[call.attempt]
-        self._router.ended(call.node, reply.load if reply else None, call.now)
-        outcome = reply.outcome if reply else Outcome.UNKNOWN
-        reason = reply.reason if reply else Reason.CONNECTION_LOST
-        elapsed_s = max(call.now - call.sent_at, 0.0)
+        self._router.ended(call.node, load, now)
+        elapsed_s = max(now - call.sent_at, 0.0)
+        timed_out = end.reason is Reason.DEADLINE
         call.out.append(
             AttemptObserved(
-                call.node, call.route.name, outcome, reason, elapsed_s, timed_out
+                call.node,
+                call.route.name,
+                end.outcome,
+                end.reason,
+                elapsed_s,
+                timed_out,
             )
         )
         call.attempt = ""
@@ -530,6 +577,10 @@
             return RetryReason.NOT_IDEMPOTENT
         if failure.outcome is not Outcome.NOT_RUN and not call.route.idempotent:
             return RetryReason.NOT_IDEMPOTENT
+        if failure.reason is Reason.CONNECTION_LOST and not (
+            self._poison.may_retry_lost(call.lost, call.was_suspect)
+        ):
+            return RetryReason.SUSPECT
         return self.retries.check(call.route.service, call.tries)
 
     # Driving the charts.
@@ -555,6 +606,7 @@
     def _finish(self, call, answer, now):
         del self._calls[call.name]
         self._timers.cancel(call.name)
+        self._front_door.leave(call.context.importance, bool(call.parent))
         if call.parent:
             self._contexts.return_tries(call.parent, call.tries)
         if answer.reason is not None:
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -17,6 +17,7 @@
 from monsoonmill.decisions.policies import (
     make_admission,
     make_claims,
+    make_front_door,
     make_health,
     make_poison,
     make_quota,
@@ -62,7 +63,7 @@
         self.members = Membership(cfg, own, self.view, rng)
         self.authorization = Authorization(self.view.config)
         self.contexts = ContextTable(make_token)
-        self.health = make_health(cfg)
+        self.health = make_health(cfg, self.members, self.counters)
         self.poison = make_poison(cfg, self.members, self.counters)
         self.router = Router(self.members, self.health, rng)
         self.quota = make_quota(cfg, self.members, self.view, rng, self.counters)
@@ -76,6 +77,7 @@
             self.router,
             self.contexts,
             self.poison,
+            make_front_door(cfg),
             self.counters,
         )
         self.executions = Executions(
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -10,6 +10,7 @@
 from monsoonmill.decisions.admission import Admission
 from monsoonmill.decisions.authorization import Authorization
 from monsoonmill.decisions.contexts import ContextTable
+from monsoonmill.decisions.crashes import CrashCounter
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.poison import PoisonGuard
 from monsoonmill.decisions.signals import (
@@ -27,6 +28,7 @@
     RunFinished,
     Send,
     SlotReleased,
+    SuspectAnswered,
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import RefusedError
@@ -44,6 +46,7 @@
 """After a pause, what came in during it may turn up for this long."""
 MAX_ENDED = 10_000
 """Ended attempts whose repeats are recognised."""
+ERROR_STATUS = 500
 ABORT_GRACE_S = 5.0
 """An aborted run that does not end within this time is given up."""
 
@@ -118,6 +121,7 @@
     def abort(self, arg):
         """Stop the request at the backend server."""
         self.out.append(AbortRun(self.forward.attempt))
+        self.executions.set_timer(self.forward.attempt, self.now + ABORT_GRACE_S)
         self._close_context()
 
     def abort_and_reply_expired(self, arg):
@@ -125,17 +129,23 @@
         self.abort(arg)
         self._reply(Outcome.UNKNOWN, Reason.DEADLINE)
 
+    def give_up(self, arg):
+        """Give the slot back of a request whose end was never told."""
+        self.release_slot(RunFinished(self.forward.attempt, None, RunFailure.TIMED_OUT))
+
     def release_slot(self, finished: RunFinished):
         """Give the slot back."""
         self._close_context()
         failure = finished.failure
         response = finished.response
+        is_cut_off = failure in (RunFailure.TIMED_OUT, RunFailure.ABORTED)
         self.out.append(
             SlotReleased(
                 self.forward.attempt,
                 self.now - self.started_at,
                 shed=response is not None and response.status == SHED_STATUS,
-                timed_out=failure in (RunFailure.TIMED_OUT, RunFailure.ABORTED),
+                timed_out=is_cut_off,
+                failed=response is None or response.status >= ERROR_STATUS,
             )
         )
 
@@ -199,6 +209,7 @@
         self.draining = False
         self._authorization = authorization
         self._poison = poison
+        self._crashes = CrashCounter()
         self._counters = counters
         self._service = ""
         self._executions: dict[str, Execution] = {}
@@ -251,6 +262,10 @@
             self._stale_until = now + STALE_S
         self._awake_at = now
 
+    def set_timer(self, attempt: str, due: float) -> None:
+        """Let an attempt's chart get ``expire`` at a time."""
+        self._timers.set(attempt, due)
+
     def on_backend_announced(self, signal, now):
         """Remember where the backend server listens."""
         self.backend_address = signal.address
@@ -311,16 +326,22 @@
 
     def on_run_finished(self, signal, now):
         """Reply with the end of a request."""
-        if signal.failure is RunFailure.CONNECTION_LOST:
-            yield BackendCrashed(tuple(self._running_fingerprints()))
-        elif signal.failure is RunFailure.NOT_SENT:
-            yield BackendUnreachable()
+        execution = self._executions.get(signal.attempt)
+        if execution is not None and execution.chart.is_in("running"):
+            yield from self._look_for_crash(execution, signal, now)
         yield from self._send(signal.attempt, "finished", now, signal)
 
-    def _running_fingerprints(self):
-        for execution in self._executions.values():
-            if execution.chart.is_in("running"):
-                yield execution.forward.fingerprint
+    def _look_for_crash(self, execution, finished, now):
+        fingerprint = execution.forward.fingerprint
+        if finished.failure is RunFailure.CONNECTION_LOST:
+            yield BackendCrashed(self._crashes.lose_connection(now), (fingerprint,))
+        elif finished.failure is RunFailure.NOT_SENT:
+            self._crashes.note_change()
+            yield BackendUnreachable()
+        elif finished.response is not None and not _is_not_run(finished.response):
+            self._crashes.note_change()
+            if self._poison.is_suspect(fingerprint):
+                yield SuspectAnswered(fingerprint)
 
     def _send(self, attempt, event, now, arg=None):
         execution = self._executions.get(attempt)
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -207,12 +207,17 @@
         Time at the backend server.
     shed : bool
         Whether the backend server refused it for overload.
+    timed_out : bool
+        Whether it was cut off before its answer.
+    failed : bool
+        Whether it ended in an error, so that its latency tells nothing.
     """
 
     attempt: str
     latency_s: float
     shed: bool
     timed_out: bool
+    failed: bool = False
 
 
 @frozen
@@ -222,17 +227,35 @@
 
 @frozen
 class BackendCrashed:
-    """The backend server broke a connection while these requests ran.
+    """The backend server broke the connections of these requests.
 
     Attributes
     ----------
+    crash : int
+        Number of the crash at this node.
     fingerprints : tuple of int
-        The requests that were at the backend server.
+        The requests whose connections broke.
     """
 
+    crash: int
     fingerprints: tuple[int, ...]
 
 
+@frozen
+class SuspectAnswered:
+    """The backend server answered a request that was suspected."""
+
+    fingerprint: int
+
+
+@frozen
+class AttemptStarted:
+    """An attempt of a call was sent to a node."""
+
+    node: str
+    route: str
+
+
 @frozen
 class AttemptObserved:
     """How an attempt at a node went, for the judgement of its health.
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -84,9 +84,10 @@
     with create_server(("127.0.0.1", 0)) as listener:
         silent = Address(*listener.getsockname())
         pool.run(RunCall("first", silent, HttpRequest("GET", "/"), 30.0, "t"))
-        listener.accept()
-        pool.abort("first")
-        idle = inbox.take(5)
+        conn, _ = listener.accept()
+        with conn:
+            pool.abort("first")
+            idle = inbox.take(5)
     assert idle.finished.failure is RunFailure.ABORTED
     pool.on_idle(idle)
     with server_saying([WHOLE]) as address:
