--- a/tests/test_claims_paired.py
+++ b/tests/test_claims_paired.py
@@ -1,8 +1,17 @@
 """Pledges run at most once while nodes, links and the platform fail."""
 
-from monsoonmill.decisions.signals import CallerGone, DrainRequested, RunFailure
-from monsoonmill.reasons import Outcome, Reason
-from tests.claims_fleet import ClaimsFleet, key_in, wait_until_prepared
+from attrs import evolve
+
+from monsoonmill.decisions.signals import (
+    CallerGone,
+    DrainRequested,
+    Received,
+    RunFailure,
+)
+from monsoonmill.messages import Forward
+from monsoonmill.model import HttpRequest
+from monsoonmill.reasons import Importance, Outcome, Reason
+from tests.claims_fleet import RETENTION_S, ClaimsFleet, key_in, wait_until_prepared
 
 
 def ready_fleet(size=4, **options):
@@ -88,7 +97,7 @@
     fleet = ready_fleet()
     fleet.pledge(nodes_of(fleet)[0], "k")
     fleet.advance(1)
-    fleet.kill(fleet.nodes[fleet.primary_of("k").primary.node])
+    fleet.kill(fleet.nodes[fleet.record_of("k").primary.node])
     for _ in range(3):
         name = fleet.pledge(nodes_of(fleet)[0], "k")
         fleet.advance(4)
@@ -99,7 +108,7 @@
 def test_asker_that_dies_leaves_the_claim_unknown():
     fleet = ready_fleet()
     fleet.delay_s = 60.0
-    holders = {fleet.primary_of("k").primary.node, fleet.primary_of("k").backup.node}
+    holders = {fleet.record_of("k").primary.node, fleet.record_of("k").backup.node}
     asker = next(one for one in nodes_of(fleet) if one.name not in holders)
     fleet.pledge(asker, "k")
     assert fleet.advance_until(lambda: len(fleet.executed) == 1, limit_s=2.0)
@@ -114,7 +123,7 @@
 
 def test_call_that_is_abandoned_before_its_claim_is_known_may_have_run_earlier():
     fleet = ready_fleet()
-    record = fleet.primary_of("k")
+    record = fleet.record_of("k")
     split(fleet, {record.primary.node})
     node = next(one for one in nodes_of(fleet) if one.name != record.primary.node)
     name = fleet.pledge(node, "k")
@@ -126,7 +135,7 @@
     fleet = ready_fleet(6)
     fleet.pledge(nodes_of(fleet)[0], "k")
     fleet.advance(1)
-    record = fleet.primary_of("k")
+    record = fleet.record_of("k")
     for holder in (record.primary, record.backup):
         fleet.kill(fleet.nodes[holder.node])
     fleet.advance(20)
@@ -146,7 +155,7 @@
     fleet = ready_fleet()
     fleet.pledge(nodes_of(fleet)[0], "old")
     fleet.advance(1)
-    record = fleet.primary_of("old")
+    record = fleet.record_of("old")
     fleet.platform.is_down = True
     fleet.kill(fleet.nodes[record.backup.node])
     fleet.advance(5)
@@ -196,7 +205,7 @@
 
 def test_resends_on_both_sides_of_a_partition_run_once():
     fleet = ready_fleet(6, claims={"retention_s": 900})
-    record = fleet.primary_of("k")
+    record = fleet.record_of("k")
     alone = {record.primary.node}
     split(fleet, alone)
     names = [fleet.pledge(node, "k") for node in nodes_of(fleet)]
@@ -214,7 +223,7 @@
 
 def test_pair_cut_off_from_the_platform_stops_before_others_may_grant():
     fleet = ready_fleet(6)
-    record = fleet.primary_of("k")
+    record = fleet.record_of("k")
     pair = {record.primary.node, record.backup.node}
     split(fleet, pair)
     recovery_s = nodes_of(fleet)[0].core.claims.home.recovery_s
@@ -251,6 +260,33 @@
     fleet.check()
 
 
+def test_pledge_that_reaches_its_host_after_a_long_pause_does_not_run():
+    fleet = ready_fleet(2)
+    asker, host = nodes_of(fleet)
+    fleet.pause(host)
+    forward = Forward(
+        attempt="late/1/1",
+        service="donkeys",
+        route="pledge",
+        request=HttpRequest("POST", "/pledges", (), b"k"),
+        organisation="branch",
+        importance=Importance.CRITICAL,
+        at_most_once=True,
+        timeout_ms=3000,
+        tries=0,
+        depth=0,
+        fingerprint=1,
+    )
+    fleet.give(host, Received(asker.name, forward))
+    fleet.advance(RETENTION_S)
+    fleet.resume(host)
+    fleet.advance(1)
+    assert fleet.executed == []
+    fleet.give(host, Received(asker.name, evolve(forward, attempt="late/1/2")))
+    fleet.advance(1)
+    assert len(fleet.executed) == 1
+
+
 def test_full_table_refuses_new_claims_as_not_run():
     fleet = ready_fleet(2, claims={"max_entries": 3})
     names = [fleet.pledge(nodes_of(fleet)[0], f"k{number}") for number in range(20)]
