Measure baselines by route, and judge windows after they settle

A route now keeps a moving average of its runs without load, which the baseline follows down at once and up slowly; a probe lowers a route by that route's own mean, and goes deeper at once while it finds less; a window needs 20 runs and two mean latencies after a change.

--- a/src/monsoonmill/decisions/concurrency_limit.py
+++ b/src/monsoonmill/decisions/concurrency_limit.py
@@ -16,12 +16,19 @@
 from monsoonmill.decisions.route_latency import RouteLatencies
 from monsoonmill.settings import AdmissionSettings
 
-MIN_SAMPLES = 8
+MIN_SAMPLES = 20
 """Runs that a window needs before it is judged."""
+PROBE_SAMPLES = 10
+"""Runs that a window needs while a probe holds the limit down."""
+SETTLE_LATENCIES = 2.0
+"""A window ends this many mean latencies after a change at the earliest, since
+its quick runs end first."""
 SPARSE_WINDOWS = 10
 """A window with fewer runs is judged after this many times its length."""
 MAX_RATIO = 16.0
 """A single run counts with this ratio at most."""
+MEAN_WEIGHT = 0.05
+"""Weight of one run in the mean latency over all routes."""
 FAST_GROWTH = 1.5
 LEAST_FACTOR = 0.5
 MOST_FACTOR = 0.9
@@ -29,16 +36,18 @@
 """Factor of the decrease when the backend server itself refuses calls."""
 SHED_SHARE = 0.05
 """Share of refusals in a window that counts as congestion."""
-HOLD_SHARE = 0.75
+HOLD_SHARE = 0.5
 """The limit stops growing at this part of the way to the tolerance."""
 JUDGED_DECREASE = 0.5
 """A back-off is judged once the limit has shrunk to this part."""
 PROBE_FACTOR = 0.25
 FIRST_PROBE_S = 1.0
-MAX_PROBE_S = 16.0
+MAX_PROBE_S = 32.0
 """Probes come after these times under load, doubling while they find nothing."""
-LOWERED_RATIO = 0.9
+LOWERED_RATIO = 0.7
 """A probe with a smaller ratio has found a lower baseline."""
+MIN_ROUTE_SAMPLES = 5
+"""Runs of a route that a probe needs to lower its baseline."""
 CALM_SHARE = 0.25
 """A run that started with this part of the limit in use shows no overload."""
 
@@ -70,6 +79,19 @@
     end: RunEnd
 
 
+@define
+class LatencySum:
+    """Latencies of one route in a window."""
+
+    count: int = 0
+    total_s: float = 0.0
+
+    @property
+    def mean_s(self) -> float:
+        """Mean latency in seconds."""
+        return self.total_s / self.count
+
+
 @define
 class Window:
     """Runs that ended since the last judgement of the limit."""
@@ -79,13 +101,21 @@
     ratio_sum: float = 0.0
     sheds: int = 0
     was_full: bool = False
-    routes: set[str] = field(factory=set)
+    routes: dict[str, LatencySum] = field(factory=dict)
 
     @property
     def ratio(self) -> float:
         """Mean ratio of latency to baseline."""
         return self.ratio_sum / self.count if self.count else 1.0
 
+    def add(self, sample: RunSample, ratio: float) -> None:
+        """Count a run with its ratio of latency to baseline."""
+        self.count += 1
+        self.ratio_sum += ratio
+        latencies = self.routes.setdefault(sample.route, LatencySum())
+        latencies.count += 1
+        latencies.total_s += sample.latency_s
+
     @property
     def ends(self) -> int:
         """Number of runs that were counted."""
@@ -171,6 +201,7 @@
         self._window = Window()
         self._changed_at = float("-inf")
         self._calm_at = float("-inf")
+        self._mean_s = 0.0
         self._probe_after_s = FIRST_PROBE_S
         self._before = self._limit
         self._judged = JudgedLimit(self._limit, 1.0)
@@ -214,6 +245,7 @@
             if is_calm:
                 self._calm_at = now
             self._latencies.learn(sample.route, sample.latency_s, is_calm, now)
+            self._mean_s += MEAN_WEIGHT * (sample.latency_s - self._mean_s)
         entry = self._latencies.get(sample.route)
         if entry is None or entry.baseline_s <= 0:
             return None
@@ -234,14 +266,15 @@
         if sample.end is RunEnd.SHED:
             window.sheds += 1
         elif ratio is not None:
-            window.count += 1
-            window.ratio_sum += ratio
-            window.routes.add(sample.route)
+            window.add(sample, ratio)
 
     def _is_due(self, now):
         window_s = self._cfg.window_ms / 1000
         elapsed_s = now - self._window.started_at
-        if self._window.ends >= MIN_SAMPLES:
+        if now - self._changed_at < self._mean_s * SETTLE_LATENCIES:
+            return False
+        least = PROBE_SAMPLES if self._chart.is_in("probing") else MIN_SAMPLES
+        if self._window.ends >= least:
             return elapsed_s >= window_s
         return self._window.ends > 0 and elapsed_s >= window_s * SPARSE_WINDOWS
 
@@ -288,6 +321,10 @@
             return False
         return window.ratio > earlier.ratio * (1 + shrunk) / 2
 
+    def has_found_less(self, judged):
+        """Return whether a probe has found a route faster than known."""
+        return any(self._lower_routes(judged.window))
+
     # Actions.
     def grow_fast(self, judged):
         """Grow by a factor."""
@@ -324,19 +361,31 @@
         self._before = self._limit
         self._set(self._limit * PROBE_FACTOR, judged.now)
 
+    def probe_deeper(self, judged):
+        """Lower the baselines, and shrink once more to see whether more is true."""
+        for entry, mean_s in self._lower_routes(judged.window):
+            entry.lower(mean_s)
+        self._probe_after_s = FIRST_PROBE_S
+        self._set(self._limit * PROBE_FACTOR, judged.now)
+
     def end_probe(self, judged):
-        """Take the latency without load for the baseline and restore the limit."""
+        """Take the latency that is left as no sign of load; restore the limit."""
         window = judged.window
         if window.count:
-            self._latencies.scale(window.routes, min(window.ratio, 1.0))
             self.slowness = max(window.ratio, 1.0)
-        if window.ratio < LOWERED_RATIO:
-            self._probe_after_s = FIRST_PROBE_S
-        else:
-            self._probe_after_s = min(self._probe_after_s * 2, MAX_PROBE_S)
+        self._probe_after_s = min(self._probe_after_s * 2, MAX_PROBE_S)
         self._calm_at = judged.now
         self._set(self._before, judged.now)
 
+    def _lower_routes(self, window):
+        """Yield the routes that a probe has found to be faster than known."""
+        for route, latencies in window.routes.items():
+            entry = self._latencies.get(route)
+            if entry is None or latencies.count < MIN_ROUTE_SAMPLES:
+                continue
+            if latencies.mean_s < entry.baseline_s * LOWERED_RATIO:
+                yield entry, latencies.mean_s
+
     def _set(self, limit, changed_at=None):
         self._limit = min(max(limit, self._cfg.min_limit), self._cfg.max_limit)
         if changed_at is not None:
--- a/src/monsoonmill/decisions/route_latency.py
+++ b/src/monsoonmill/decisions/route_latency.py
@@ -8,7 +8,7 @@
 """Routes whose latency is remembered; the least recently used is forgotten."""
 WEIGHT = 0.05
 """Weight of one sample in the moving averages."""
-BATCH = 16
+BATCH = 32
 """Samples under load whose mean may lower the baseline."""
 RISE_PER_S = 0.05
 """The baseline rises by this share in a second at most."""
@@ -23,16 +23,22 @@
     Attributes
     ----------
     baseline_s : float
-        Mean latency without load.
+        Mean latency without load; follows ``calm_s`` down at once, up slowly.
+    calm_s : float
+        Moving average of the runs without load.
     usual_s : float
         Mean latency at present.
     updated_at : float
         Time of the last sample.
+    calm_at : float
+        Time of the last sample without load.
     """
 
     baseline_s: float
+    calm_s: float
     usual_s: float
     updated_at: float
+    calm_at: float
     samples: int = 0
     batch_sum: float = 0.0
     batch_count: int = 0
@@ -43,24 +49,34 @@
         weight = max(WEIGHT, 1 / self.samples)
         self.usual_s += weight * (latency_s - self.usual_s)
         if is_calm:
-            self._move(weight * (latency_s - self.baseline_s), now)
+            self.calm_s += weight * (latency_s - self.calm_s)
+            self._follow_calm(now)
         else:
             self._learn_from_batch(latency_s)
         self.updated_at = now
 
-    def _move(self, change_s, now):
-        elapsed_s = max(now - self.updated_at, 0.0)
-        if self.samples > BATCH:
-            change_s = min(change_s, self.baseline_s * RISE_PER_S * elapsed_s)
-        self.baseline_s += change_s
+    def _follow_calm(self, now):
+        if self.samples <= BATCH:
+            self.baseline_s = self.calm_s
+            self.calm_at = now
+            return
+        elapsed_s = max(now - self.calm_at, 0.0)
+        highest_s = self.baseline_s * (1 + RISE_PER_S * elapsed_s)
+        self.baseline_s = min(self.calm_s, highest_s)
+        self.calm_at = now
 
     def _learn_from_batch(self, latency_s):
         self.batch_sum += latency_s
         self.batch_count += 1
         if self.batch_count == BATCH:
-            self.baseline_s = min(self.baseline_s, self.batch_sum / BATCH)
+            self.lower(self.batch_sum / BATCH)
             self.batch_sum, self.batch_count = 0.0, 0
 
+    def lower(self, limit_s: float) -> None:
+        """Let the latency without load be no more than a limit."""
+        self.baseline_s = min(self.baseline_s, limit_s)
+        self.calm_s = min(self.calm_s, limit_s)
+
     def learn_at_least(self, elapsed_s: float, now: float) -> None:
         """Take a run into account that was cut off after a time."""
         if elapsed_s > self.usual_s:
@@ -82,7 +98,7 @@
         """Take one run's latency into account."""
         entry = self._routes.get(route)
         if entry is None:
-            entry = RouteLatency(latency_s, latency_s, now)
+            entry = RouteLatency(latency_s, latency_s, latency_s, now, now)
             self._routes[route] = entry
             if len(self._routes) > MAX_ROUTES:
                 self._routes.popitem(last=False)
@@ -95,9 +111,3 @@
         if entry is None or now - entry.updated_at > USUAL_MEMORY_S:
             return 0.0
         return entry.usual_s
-
-    def scale(self, routes: set[str], factor: float) -> None:
-        """Multiply the baselines of some routes."""
-        for route in routes:
-            if route in self._routes:
-                self._routes[route].baseline_s *= factor
