Shorten the wait in a queue that never empties

All but critical calls now wait a tenth of queue_ms once the queue has stood for queue_ms, as CoDel and Facebook's adaptive timeouts do.

--- a/src/monsoonmill/decisions/admission_queued.py
+++ b/src/monsoonmill/decisions/admission_queued.py
@@ -23,10 +23,16 @@
 from monsoonmill.reasons import Importance, Reason
 from monsoonmill.settings import AdmissionSettings
 
+STANDING_SHARE = 0.1
+"""Part of the longest wait that is left while the queue never empties."""
 RETRY_AFTER_S = 1.0
 """When another try of a refused call may succeed."""
 
 
+FOREGROUND = tuple(one for one in Importance if one > Importance.BACKGROUND)
+"""Classes that may use the whole limit."""
+
+
 @frozen
 class RunningCall:
     """An attempt that holds a slot.
@@ -57,6 +63,7 @@
         self._level = AdmissionLevel()
         self._running: dict[str, RunningCall] = {}
         self._background = 0
+        self._queue_empty_at = float("-inf")
         self._timers = Timers()
 
     @classmethod
@@ -97,6 +104,7 @@
             return
         if len(self._running) >= self._limit.limit:
             self._limit.note_full()
+        self._note_queue(now)
         refused = self._queue.offer(call)
         if refused is not call:
             self._timers.set(call.attempt, self._last_start(call, now))
@@ -149,6 +157,7 @@
         )
 
     def _admit_waiting(self, now):
+        self._note_queue(now)
         while self._queue:
             lowest = self._lowest_runnable()
             call = None if lowest is None else self._queue.pop(lowest)
@@ -157,6 +166,8 @@
             self._timers.cancel(call.attempt)
             if self._is_hopeless(call, now):
                 yield self._refuse(call, Reason.DEADLINE, now)
+            elif now - call.queued_at > self._longest_wait_s(call.importance, now):
+                yield self._refuse(call, Reason.SHED, now)
             else:
                 yield self._start(call, now)
         self._level.note_idle()
@@ -201,7 +212,25 @@
     def _last_start(self, call, now):
         """Return when an attempt has waited for too long."""
         usual_s = self._limit.usual_s(call.route, now)
-        return min(call.deadline - usual_s, now + self._cfg.queue_ms / 1000)
+        longest_s = self._longest_wait_s(call.importance, now)
+        return min(call.deadline - usual_s, now + longest_s)
+
+    def _longest_wait_s(self, importance, now):
+        """Return how long a class may wait.
+
+        Waiting only helps against bursts: in a queue that stands for long it
+        makes every call late, so that what is admitted fails in the end.
+        """
+        queue_s = self._cfg.queue_ms / 1000
+        is_standing = now - self._queue_empty_at > queue_s
+        if is_standing and importance is not Importance.CRITICAL:
+            return queue_s * STANDING_SHARE
+        return queue_s
+
+    def _note_queue(self, now):
+        """Remember when last no call but background ones waited."""
+        if not any(self._queue.has_waiting(one) for one in FOREGROUND):
+            self._queue_empty_at = now
 
     def status(self):
         """Return the limit, the load and the admission level."""
