Learn a baseline from a route's first 32 runs together

A route's baseline was its first run until a calm one came. The mean of the first 32 runs is now the first baseline, no run is compared before the eighth, and runs at the least limit count as calm, since a probe at the least limit taught nothing. test_quick_first_run_of_a_slow_route_is_no_lasting_baseline.

--- a/src/monsoonmill/decisions/concurrency_limit.py
+++ b/src/monsoonmill/decisions/concurrency_limit.py
@@ -241,13 +241,13 @@
         if sample.end is RunEnd.SHED:
             return None
         if sample.end is RunEnd.ANSWERED:
-            is_calm = sample.running <= max(self._before_probe() * CALM_SHARE, 1)
+            is_calm = sample.running <= self._calm_running()
             if is_calm:
                 self._calm_at = now
             self._latencies.learn(sample.route, sample.latency_s, is_calm, now)
             self._mean_s += MEAN_WEIGHT * (sample.latency_s - self._mean_s)
         entry = self._latencies.get(sample.route)
-        if entry is None or entry.baseline_s <= 0:
+        if entry is None or not entry.is_known:
             return None
         ratio = min(sample.latency_s / entry.baseline_s, MAX_RATIO)
         if sample.end is RunEnd.CUT_OFF:
@@ -256,8 +256,9 @@
                 return None
         return ratio
 
-    def _before_probe(self):
-        return self._before if self._chart.is_in("probing") else self._limit
+    def _calm_running(self):
+        limit = self._before if self._chart.is_in("probing") else self._limit
+        return max(limit * CALM_SHARE, self._cfg.min_limit)
 
     def _count(self, sample, ratio, now):
         window = self._window
--- a/src/monsoonmill/decisions/route_latency.py
+++ b/src/monsoonmill/decisions/route_latency.py
@@ -10,6 +10,8 @@
 """Weight of one sample in the moving averages."""
 BATCH = 32
 """Samples under load whose mean may lower the baseline."""
+FEW_SAMPLES = 8
+"""Samples that a baseline needs before runs are compared with it."""
 RISE_PER_S = 0.05
 """The baseline rises by this share in a second at most."""
 USUAL_MEMORY_S = 1.0
@@ -43,12 +45,21 @@
     batch_sum: float = 0.0
     batch_count: int = 0
 
+    @property
+    def is_known(self) -> bool:
+        """Whether runs can be compared with the baseline."""
+        return self.samples >= FEW_SAMPLES and self.baseline_s > 0
+
     def learn(self, latency_s: float, is_calm: bool, now: float) -> None:
         """Take one run's latency into account."""
         self.samples += 1
         weight = max(WEIGHT, 1 / self.samples)
         self.usual_s += weight * (latency_s - self.usual_s)
-        if is_calm:
+        if self.samples <= BATCH:
+            # Too few to tell calm from load; the mean of all is nearer.
+            self.calm_s = self.baseline_s = self.usual_s
+            self.calm_at = now
+        elif is_calm:
             self.calm_s += weight * (latency_s - self.calm_s)
             self._follow_calm(now)
         else:
@@ -56,10 +67,6 @@
         self.updated_at = now
 
     def _follow_calm(self, now):
-        if self.samples <= BATCH:
-            self.baseline_s = self.calm_s
-            self.calm_at = now
-            return
         elapsed_s = max(now - self.calm_at, 0.0)
         highest_s = self.baseline_s * (1 + RISE_PER_S * elapsed_s)
         self.baseline_s = min(self.calm_s, highest_s)
--- a/tests/test_admission_limit.py
+++ b/tests/test_admission_limit.py
@@ -1,6 +1,7 @@
 """How the concurrency limit follows the measured delay."""
 
 from monsoonmill.decisions.concurrency_limit import AdaptiveLimit, RunEnd, RunSample
+from monsoonmill.decisions.route_latency import RouteLatencies
 from monsoonmill.settings import Settings
 
 CFG = Settings.from_dict({}).admission
@@ -103,6 +104,14 @@
     assert max(driver.run(1)) <= 15
 
 
+def test_quick_first_run_of_a_slow_route_is_no_lasting_baseline():
+    latencies = RouteLatencies()
+    latencies.learn("download", 0.03, False, 0.0)
+    for number in range(40):
+        latencies.learn("download", 0.3, False, number / 10)
+    assert latencies.get("download").baseline_s > 0.25
+
+
 def test_callers_in_a_hurry_do_not_shrink_the_limit():
     driver = LimitDriver(crowded(40))
     before = driver.run(10)[-1]
