Prove the oracles of admission and of the retry bound with broken variants

The fuzz test missed the variant that serves by age before importance: single arrivals hardly ever filled the queue. It now sends bursts at a limit of 2 and checks the limit and the background share exactly (both had one call of slack). All 11 variants are caught: pytest tests/test_mutants_admission.py.

--- a/tests/admission_oracle.py
+++ b/tests/admission_oracle.py
@@ -1,6 +1,7 @@
 """Drives an admission decision and checks what must hold after each step."""
 
 from collections import Counter
+from math import ceil
 
 from monsoonmill.decisions.signals import (
     AdmitCall,
@@ -9,6 +10,7 @@
     NotAdmitted,
     SlotReleased,
 )
+from monsoonmill.reasons import Importance
 
 
 class AdmissionOracle:
@@ -47,7 +49,6 @@
         self.now = end
 
     def _take(self, produced):
-        before = self.admission.load().limit
         for signal in produced:
             call = self.waiting.pop(signal.attempt, None)
             assert call is not None, "an answer for an attempt that does not wait"
@@ -55,8 +56,9 @@
             if isinstance(signal, Admitted):
                 self._check_order(call)
                 self.running[signal.attempt] = call
-                assert len(self.running) <= max(self.admission.load().limit, before)
-                self._check_background()
+                assert len(self.running) <= self.admission.load().limit
+                if call.importance is Importance.BACKGROUND:
+                    self._check_background()
             else:
                 assert isinstance(signal, NotAdmitted)
                 self.refused[signal.attempt] = signal.reason
@@ -71,8 +73,10 @@
 
     def _check_background(self):
         counts = Counter(one.importance for one in self.running.values())
-        most = max(self.admission.load().limit * self.background_share, 1)
-        assert counts[0] <= most + 1, "background work holds too many slots"
+        most = max(ceil(self.admission.load().limit * self.background_share), 1)
+        assert counts[Importance.BACKGROUND] <= most, (
+            "background work holds too many slots"
+        )
 
     def _check_load(self):
         load = self.admission.load()
--- a/tests/test_admission_fuzz.py
+++ b/tests/test_admission_fuzz.py
@@ -2,6 +2,7 @@
 
 from os import environ
 
+from hypothesis import Phase
 from hypothesis import settings as fuzz_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -12,7 +13,7 @@
 from tests.admission_oracle import AdmissionOracle
 
 EXAMPLES = int(environ.get("MONSOON_FUZZ_EXAMPLES", "40"))
-SMALL = {"initial_limit": 4, "min_limit": 2, "max_limit": 12, "queue_length": 6}
+SMALL = {"initial_limit": 2, "min_limit": 2, "max_limit": 12, "queue_length": 6}
 
 
 def small_admission():
@@ -28,13 +29,14 @@
     make_admission = staticmethod(small_admission)
 
     @rule(
-        importance=st.sampled_from(list(Importance)),
+        importances=st.lists(st.sampled_from(list(Importance)), min_size=1, max_size=6),
         organisation=st.sampled_from("abc"),
         timeout_s=st.floats(0.01, 3),
     )
-    def arrive(self, importance, organisation, timeout_s):
-        self.count += 1
-        self.oracle.admit(f"a{self.count}", importance, organisation, timeout_s)
+    def arrive(self, importances, organisation, timeout_s):
+        for importance in importances:
+            self.count += 1
+            self.oracle.admit(f"a{self.count}", importance, organisation, timeout_s)
 
     @rule(pick=st.integers(0, 99), latency_s=st.floats(0.001, 2), bad=st.integers(0, 5))
     def finish(self, pick, latency_s, bad):
@@ -65,13 +67,15 @@
         assert not self.oracle.waiting, "attempts wait for ever"
 
 
-def run_machine(machine, examples=EXAMPLES):
+def run_machine(machine, examples=EXAMPLES, phases=tuple(Phase)):
     machine.TestCase.settings = fuzz_settings(
         max_examples=examples,
         stateful_step_count=40,
         deadline=None,
         derandomize=True,
         database=None,
+        phases=phases,
+        report_multiple_bugs=False,
     )
     machine.TestCase("runTest").runTest()
 
--- /dev/null
+++ b/tests/test_mutants_admission.py
@@ -0,0 +1,125 @@
+"""Deliberately broken variants that the oracles of admission must catch."""
+
+import pytest
+from hypothesis import Phase
+
+from monsoonmill.decisions.admission_queued import QueuedAdmission
+from monsoonmill.decisions.calls import Call
+from monsoonmill.decisions.contexts import ContextTable
+from monsoonmill.decisions.fair_queue import ClassQueue, FairQueue
+from monsoonmill.reasons import Importance
+from monsoonmill.settings import Settings
+from tests import test_admission_queue, test_retry_bound
+from tests.test_admission_fuzz import SMALL, AdmissionMachine, run_machine
+
+CFG = Settings.from_dict({"admission": SMALL}).admission
+
+
+class LosesEvicted(FairQueue):
+    def offer(self, call):
+        super().offer(call)
+        return None
+
+
+class OldestFirst(FairQueue):
+    def pop(self, lowest):
+        heads = [one for one in self._calls.values() if one.importance >= lowest]
+        oldest = min(heads, key=lambda one: one.queued_at, default=None)
+        return None if oldest is None else self.remove(oldest.attempt)
+
+
+class IgnoresLimit(QueuedAdmission):
+    def _may_run(self, importance):
+        return True
+
+
+class IgnoresBackgroundShare(QueuedAdmission):
+    def _may_run(self, importance):
+        return len(self._running) < self._limit.limit
+
+
+class LeaksSlots(QueuedAdmission):
+    def _free(self, attempt):
+        run = self._running.get(attempt)
+        if run is not None and run.importance is not Importance.CRITICAL:
+            return super()._free(attempt)
+        return run
+
+
+class ForgetsTimers(QueuedAdmission):
+    def next_due(self):
+        return None
+
+
+class RunsExpired(QueuedAdmission):
+    def _is_hopeless(self, call, now):
+        return False
+
+    def _last_start(self, call, now):
+        return now + 9.0
+
+    def _longest_wait_s(self, importance, now):
+        return 9.0
+
+
+def with_queue(queue_class):
+    admission = QueuedAdmission.adaptive(CFG)
+    admission._queue = queue_class(CFG.queue_length)
+    return admission
+
+
+MUTANT_EXAMPLES = 200
+MUTANTS = {
+    "evicted attempts are lost": lambda: with_queue(LosesEvicted),
+    "age goes before importance": lambda: with_queue(OldestFirst),
+    "the limit is ignored": lambda: IgnoresLimit.adaptive(CFG),
+    "background fills all slots": lambda: IgnoresBackgroundShare.adaptive(CFG),
+    "slots leak": lambda: LeaksSlots.adaptive(CFG),
+    "nothing expires": lambda: ForgetsTimers.adaptive(CFG),
+    "expired attempts run": lambda: RunsExpired.adaptive(CFG),
+}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_mutant_of_admission_is_caught_by_the_fuzz_oracle(name):
+    class Machine(AdmissionMachine):
+        make_admission = staticmethod(MUTANTS[name])
+
+    with pytest.raises(AssertionError):
+        run_machine(Machine, MUTANT_EXAMPLES, (Phase.generate,))
+
+
+def test_mutant_without_fairness_is_caught(monkeypatch):
+    monkeypatch.setattr(ClassQueue, "charge", lambda self, organisation: None)
+    with pytest.raises(AssertionError):
+        test_admission_queue.test_greedy_organisation_leaves_others_their_equal_share()
+
+
+def test_mutant_that_saves_up_claims_is_caught(monkeypatch):
+    def start_tag(self, organisation):
+        return self.finish_tags.get(organisation, 0.0)
+
+    monkeypatch.setattr(ClassQueue, "_start_tag", start_tag)
+    with pytest.raises(AssertionError):
+        test_admission_queue.test_idle_organisation_saves_up_no_claim_on_slots()
+
+
+def test_mutant_with_a_budget_for_each_hop_is_caught(monkeypatch):
+    monkeypatch.setattr(ContextTable, "take_tries", lambda self, token: 3)
+    monkeypatch.setattr(Call, "take_back_tries", lambda self, left: None)
+    fleet = test_retry_bound.ChainFleet(
+        4, call={"retry_ratio": 1.0, "retry_burst": 1000.0}
+    )
+    fleet.start(fleet.members[0])
+    fleet.advance(5)
+    with pytest.raises(AssertionError):
+        test_retry_bound.check_bound(fleet)
+
+
+def test_mutant_that_keeps_lent_tries_is_caught(monkeypatch):
+    def lend_tries(self):
+        self.lent_tries = self.tries
+
+    monkeypatch.setattr(Call, "lend_tries", lend_tries)
+    with pytest.raises(AssertionError):
+        test_retry_bound.test_lost_peers_do_not_renew_the_budget()
