--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -3,6 +3,7 @@
 from itertools import count
 
 from attrs import define, evolve, field, frozen
+from xxhash import xxh3_64_intdigest
 
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.counters import Counters
@@ -20,6 +21,7 @@
 from monsoonmill.decisions.signals import (
     Answer,
     AttemptObserved,
+    AttemptStarted,
     CallArrived,
     CallerGone,
     ClaimDenied,
@@ -35,7 +37,7 @@
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import RefusedError
-from monsoonmill.messages import Cancel, Forward, Reply
+from monsoonmill.messages import Cancel, Forward, Load, Reply
 from monsoonmill.model import CallContext, Route
 from monsoonmill.reasons import Importance, Outcome, Reason, RetryReason
 from monsoonmill.settings import Settings
@@ -91,6 +93,12 @@
         Node that the attempt was sent to.
     excluded : set of str
         Nodes that have failed this call.
+    lost : int
+        Attempts whose connection broke.
+    was_suspect : bool
+        Whether the request was a suspect when the attempt was sent.
+    may_have_run : bool
+        Whether any attempt so far may have run, whatever became of later ones.
     """
 
     arrival: CallArrived
@@ -107,6 +115,9 @@
     node: str = ""
     sent_at: float = 0.0
     excluded: set[str] = field(factory=set)
+    lost: int = 0
+    was_suspect: bool = False
+    may_have_run: bool = False
     failure: Failure | None = None
     has_claim: bool = False
     chart: ChartInstance | None = None
@@ -197,15 +208,15 @@
 
     def answer_expired(self, arg):
         """Tell the caller that the time is up."""
-        ran = Outcome.UNKNOWN if self.attempt else Outcome.NOT_RUN
-        self._cancel_attempt(timed_out=True)
-        self._answer(Answer(self.name, ran, reason=Reason.DEADLINE))
+        outcome = self._outcome_so_far()
+        self._cancel_attempt(Reason.DEADLINE)
+        self._answer(Answer(self.name, outcome, reason=Reason.DEADLINE))
 
     def abandon(self, arg):
         """Stop what is under way, since nobody waits for the answer."""
-        ran = Outcome.UNKNOWN if self.attempt else Outcome.NOT_RUN
-        self._cancel_attempt(timed_out=False)
-        self._answer(Answer(self.name, ran, reason=Reason.CANCELLED))
+        outcome = self._outcome_so_far()
+        self._cancel_attempt(Reason.CANCELLED)
+        self._answer(Answer(self.name, outcome, reason=Reason.CANCELLED))
 
     def answer_over_rate(self, denied: TokenDenied):
         """Tell the caller that its organisation has spent its rate."""
@@ -217,7 +228,14 @@
             kept = Answer(self.name, denied.outcome, denied.response)
             self._answer(kept)
             return
-        self._answer(Answer(self.name, denied.outcome, reason=denied.reason))
+        self._answer(
+            Answer(
+                self.name,
+                denied.outcome,
+                reason=denied.reason,
+                retry_after_s=denied.retry_after_s,
+            )
+        )
 
     def answer_no_backend_server(self, reason: Reason):
         """Tell the caller that no backend server can take the call."""
@@ -236,7 +254,7 @@
         self._answer(
             Answer(
                 self.name,
-                failure.outcome,
+                self._outcome_so_far(),
                 reason=failure.reason,
                 retry_after_s=failure.retry_after_s,
             )
@@ -248,10 +266,18 @@
         )
         self._answer(refusal)
 
-    def _cancel_attempt(self, timed_out):
+    def _outcome_so_far(self):
+        """Return what is known when no answer has come."""
+        is_open = self.attempt or self.may_have_run
+        # While the claim is not known, an earlier call of this key may have run.
+        is_unknown = is_open or self.chart.is_in("waiting_for_claim")
+        return Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
+
+    def _cancel_attempt(self, reason):
         if self.attempt:
             self.out.append(Send(self.node, Cancel(self.attempt)))
-            self.flow.forget_attempt(self, None, timed_out)
+            failure = Failure(Outcome.UNKNOWN, reason)
+            self.flow.forget_attempt(self, failure, self.now)
 
     def _answer(self, answer):
         if self.has_claim:
@@ -259,6 +285,15 @@
         self.out.append(answer)
 
 
+def check_whole(reply: Reply) -> Reply:
+    """Return a reply, or the failure that it is if its body is not whole."""
+    if reply.response is None or xxh3_64_intdigest(reply.response.body) == reply.digest:
+        return reply
+    return evolve(
+        reply, outcome=Outcome.UNKNOWN, reason=Reason.BROKEN_ANSWER, response=None
+    )
+
+
 CALL_CHART = bind_methods("call", Call)
 
 
@@ -428,7 +463,14 @@
     # Attempts.
     def start_attempt(self, call: Call) -> None:
         """Send a call to a node, or note that there is none."""
+        if call.now >= call.context.deadline:
+            # After a pause an event can come before the call's own timer.
+            call.out.append(ChartEvent("expire", None))
+            return
         service = call.route.service
+        if call.caller.key and self._authorization.is_withdrawn(call.caller.key):
+            call.out.append(ChartEvent("no_backend_server", Reason.KEY_WITHDRAWN))
+            return
         node = self._router.choose(
             service, call.context.importance, frozenset(call.excluded), call.now
         )
@@ -440,9 +482,11 @@
         call.attempt = f"{self._node}/{self._incarnation}/{next(self._numbers)}"
         call.node = node
         call.sent_at = call.now
+        call.was_suspect = self._poison.is_suspect(call.fingerprint)
         call.lend_tries()
         self._attempts[call.attempt] = call
         self._router.sent(node)
+        call.out.append(AttemptStarted(node, call.route.name))
         call.out.append(Send(node, self._forward(call)))
 
     def _forward(self, call):
@@ -469,7 +513,8 @@
         if call is None or call.node != signal.node:
             self.counters.add("late-replies")
             return
-        self.forget_attempt(call, reply, timed_out=False)
+        reply = check_whole(reply)
+        self.forget_attempt(call, reply, now, reply.load)
         call.take_back_tries(reply.tries)
         if reply.response is not None and reply.reason is None:
             yield from self._send(call.name, "attempt_done", now, reply)
@@ -482,8 +527,8 @@
         """Fail the attempts at a node whose stream broke; they may have run."""
         lost = [one for one in self._attempts.values() if one.node == signal.node]
         for call in lost:
-            self.forget_attempt(call, None, timed_out=False)
             call.failure = Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+            self.forget_attempt(call, call.failure, now)
             yield from self._fail(call, now)
 
     def on_peer_unreachable(self, signal, now):
@@ -492,25 +537,35 @@
             return
         call = self._attempts.get(signal.message.attempt)
         if call is not None:
-            self.forget_attempt(call, None, timed_out=False)
             call.take_back_tries(call.lent_tries)
             call.failure = Failure(Outcome.NOT_RUN, Reason.UNREACHABLE)
+            self.forget_attempt(call, call.failure, now)
             yield from self._fail(call, now)
 
     def _fail(self, call, now):
         call.excluded.add(call.node)
+        call.lost += call.failure.reason is Reason.CONNECTION_LOST
+        call.may_have_run |= call.failure.outcome is not Outcome.NOT_RUN
+        if call.may_have_run:
+            call.failure = evolve(call.failure, outcome=Outcome.UNKNOWN)
         yield from self._send(call.name, "attempt_failed", now)
 
-    def forget_attempt(self, call: Call, reply: Reply | None, timed_out: bool) -> None:
+    def forget_attempt(
+        self, call: Call, end: Reply | Failure, now: float, load: Load | None = None
+    ) -> None:
         """Stop to await an attempt's reply."""
         del self._attempts[call.attempt]
-        self._router.ended(call.node, reply.load if reply else None, call.now)
-        outcome = reply.outcome if reply else Outcome.UNKNOWN
-        reason = reply.reason if reply else Reason.CONNECTION_LOST
-        elapsed_s = max(call.now - call.sent_at, 0.0)
+        self._router.ended(call.node, load, now)
+        elapsed_s = max(now - call.sent_at, 0.0)
+        timed_out = end.reason is Reason.DEADLINE
         call.out.append(
             AttemptObserved(
-                call.node, call.route.name, outcome, reason, elapsed_s, timed_out
+                call.node,
+                call.route.name,
+                end.outcome,
+                end.reason,
+                elapsed_s,
+                timed_out,
             )
         )
         call.attempt = ""
@@ -522,6 +577,10 @@
             return RetryReason.NOT_IDEMPOTENT
         if failure.outcome is not Outcome.NOT_RUN and not call.route.idempotent:
             return RetryReason.NOT_IDEMPOTENT
+        if failure.reason is Reason.CONNECTION_LOST and not (
+            self._poison.may_retry_lost(call.lost, call.was_suspect)
+        ):
+            return RetryReason.SUSPECT
         return self.retries.check(call.route.service, call.tries)
 
     # Driving the charts.
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -1,5 +1,7 @@
 """Executions of calls at the own backend server."""
 
+from collections import OrderedDict
+
 from attrs import define, field
 from xxhash import xxh3_64_intdigest
 
@@ -8,6 +10,7 @@
 from monsoonmill.decisions.admission import Admission
 from monsoonmill.decisions.authorization import Authorization
 from monsoonmill.decisions.contexts import ContextTable
+from monsoonmill.decisions.crashes import CrashCounter
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.poison import PoisonGuard
 from monsoonmill.decisions.signals import (
@@ -16,6 +19,7 @@
     Admitted,
     BackendAnnounced,
     BackendCrashed,
+    BackendUnreachable,
     LeaveQueue,
     NotAdmitted,
     Received,
@@ -24,6 +28,7 @@
     RunFinished,
     Send,
     SlotReleased,
+    SuspectAnswered,
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import RefusedError
@@ -33,6 +38,8 @@
 
 NOT_RUN_HEADER = "monsoon-outcome"
 SHED_STATUS = 503
+MAX_ENDED = 10_000
+"""Ended attempts whose repeats are recognised."""
 ERROR_STATUS = 500
 ABORT_GRACE_S = 5.0
 """An aborted run that does not end within this time is given up."""
@@ -196,9 +203,11 @@
         self.draining = False
         self._authorization = authorization
         self._poison = poison
+        self._crashes = CrashCounter()
         self._counters = counters
         self._service = ""
         self._executions: dict[str, Execution] = {}
+        self._ended: OrderedDict[str, None] = OrderedDict()
         self._timers = Timers()
 
     def handlers(self):
@@ -239,7 +248,7 @@
     def on_forward(self, signal: Received, now):
         """Check an attempt and queue it."""
         forward = signal.message
-        if forward.attempt in self._executions:
+        if forward.attempt in self._executions or forward.attempt in self._ended:
             self._counters.add("repeated-attempts")
             return
         deadline = now + forward.timeout_ms / 1000
@@ -274,8 +283,11 @@
             yield from self._send(signal.message.attempt, "cancel", now)
 
     def on_admitted(self, signal, now):
-        """Run an attempt that has a slot, unless its key has been withdrawn."""
-        yield from self._send(signal.attempt, "admitted", now)
+        """Run an attempt that has a slot, unless its time is up."""
+        execution = self._executions.get(signal.attempt)
+        is_late = execution is not None and now >= execution.deadline
+        event = "expire" if is_late else "admitted"
+        yield from self._send(signal.attempt, event, now)
 
     def on_not_admitted(self, signal, now):
         """Refuse an attempt that gets no slot."""
@@ -284,14 +296,22 @@
 
     def on_run_finished(self, signal, now):
         """Reply with the end of a request."""
-        if signal.failure is RunFailure.CONNECTION_LOST:
-            yield BackendCrashed(tuple(self._running_fingerprints()))
+        execution = self._executions.get(signal.attempt)
+        if execution is not None and execution.chart.is_in("running"):
+            yield from self._look_for_crash(execution, signal, now)
         yield from self._send(signal.attempt, "finished", now, signal)
 
-    def _running_fingerprints(self):
-        for execution in self._executions.values():
-            if execution.chart.is_in("running"):
-                yield execution.forward.fingerprint
+    def _look_for_crash(self, execution, finished, now):
+        fingerprint = execution.forward.fingerprint
+        if finished.failure is RunFailure.CONNECTION_LOST:
+            yield BackendCrashed(self._crashes.lose_connection(now), (fingerprint,))
+        elif finished.failure is RunFailure.NOT_SENT:
+            self._crashes.note_change()
+            yield BackendUnreachable()
+        elif finished.response is not None and not _is_not_run(finished.response):
+            self._crashes.note_change()
+            if self._poison.is_suspect(fingerprint):
+                yield SuspectAnswered(fingerprint)
 
     def _send(self, attempt, event, now, arg=None):
         execution = self._executions.get(attempt)
@@ -301,10 +321,16 @@
         execution.chart.send(event, arg)
         if execution.chart.finished:
             del self._executions[attempt]
+            self._note_ended(attempt)
             self._timers.cancel(attempt)
         yield from execution.out
         execution.out.clear()
 
+    def _note_ended(self, attempt):
+        self._ended[attempt] = None
+        if len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
+
     def status(self):
         """Return the number of attempts in progress."""
         return {"in_progress": self.in_progress, "service": self._service}
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -2,15 +2,20 @@
 
 from random import Random
 
+from monsoonmill.codec import ConfigCodec
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission import Admission, AdmitAll
 from monsoonmill.decisions.admission_queued import QueuedAdmission
 from monsoonmill.decisions.claims import Claims, NoClaims
+from monsoonmill.decisions.claims_paired import PairedClaims
+from monsoonmill.decisions.claims_single import SingleHomeClaims
 from monsoonmill.decisions.configuration import ConfigView
 from monsoonmill.decisions.front_door import FrontDoor, OpenDoor, ThreadDoor
 from monsoonmill.decisions.health import AllHealthy, Health
+from monsoonmill.decisions.health_passive import PassiveHealth
 from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.poison import NoPoison, PoisonGuard
+from monsoonmill.decisions.poison_guard import FleetPoisonGuard
 from monsoonmill.decisions.quota import Quota, UnlimitedQuota
 from monsoonmill.settings import Settings
 
@@ -27,9 +32,17 @@
 
 
 def make_claims(
-    cfg: Settings, members: Membership, rng: Random, counters: Counters
+    cfg: Settings,
+    members: Membership,
+    codec: ConfigCodec,
+    rng: Random,
+    counters: Counters,
 ) -> Claims:
     """Return the part that gives out claims."""
+    if cfg.policy.claims == "paired":
+        return PairedClaims(cfg, members, codec, rng, counters)
+    if cfg.policy.claims == "single-home":
+        return SingleHomeClaims(cfg, members, rng, counters)
     return NoClaims()
 
 
@@ -49,11 +62,15 @@
     return ThreadDoor(cfg.http)
 
 
-def make_health(cfg: Settings) -> Health:
+def make_health(cfg: Settings, members: Membership, counters: Counters) -> Health:
     """Return the part that judges other nodes by their answers."""
-    return AllHealthy()
+    if cfg.policy.health == "none":
+        return AllHealthy()
+    return PassiveHealth(cfg.health, members, counters)
 
 
 def make_poison(cfg: Settings, members: Membership, counters: Counters) -> PoisonGuard:
     """Return the part that recognises requests that crash backend servers."""
-    return NoPoison()
+    if cfg.policy.poison == "none":
+        return NoPoison()
+    return FleetPoisonGuard(cfg.poison, members, counters)
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -220,19 +220,42 @@
     failed: bool = False
 
 
+@frozen
+class BackendUnreachable:
+    """The backend server refused a connection; it is gone or not up yet."""
+
+
 @frozen
 class BackendCrashed:
-    """The backend server broke a connection while these requests ran.
+    """The backend server broke the connections of these requests.
 
     Attributes
     ----------
+    crash : int
+        Number of the crash at this node.
     fingerprints : tuple of int
-        The requests that were at the backend server.
+        The requests whose connections broke.
     """
 
+    crash: int
     fingerprints: tuple[int, ...]
 
 
+@frozen
+class SuspectAnswered:
+    """The backend server answered a request that was suspected."""
+
+    fingerprint: int
+
+
+@frozen
+class AttemptStarted:
+    """An attempt of a call was sent to a node."""
+
+    node: str
+    route: str
+
+
 @frozen
 class AttemptObserved:
     """How an attempt at a node went, for the judgement of its health.
@@ -305,6 +328,7 @@
     reason: Reason
     outcome: Outcome
     response: HttpResponse | None = None
+    retry_after_s: float = 0.0
 
 
 @frozen
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -2,7 +2,32 @@
 
 from attrs import field, frozen
 
-from monsoonmill.model import Address, Config, HttpRequest, HttpResponse, Member
+from monsoonmill.claim_messages import (
+    ClaimCopyWanted,
+    ClaimMapReply,
+    ClaimMapRequest,
+    ClaimRedirect,
+    ClaimReplicate,
+    ClaimReplicated,
+    ClaimReply,
+    ClaimRequest,
+    ClaimSettle,
+    ClaimSettled,
+    ClaimTransfer,
+    ClaimTransferred,
+)
+from monsoonmill.model import (
+    Address,
+    Config,
+    HttpRequest,
+    HttpResponse,
+    Key,
+    Member,
+    Organisation,
+    Route,
+    Service,
+    WithdrawnKey,
+)
 from monsoonmill.reasons import Importance, Outcome, Reason
 
 
@@ -142,17 +167,42 @@
         Digest of the sender's whole list, to find lost updates.
     answer : bool
         Whether the receiver should answer with its own changes.
+    is_list : bool
+        Whether the entries answer a ``MemberListRequest`` and may be old.
     """
 
     members: tuple[Member, ...]
     revision: int
     members_digest: int = 0
     answer: bool = False
+    is_list: bool = False
 
 
 @frozen
 class MemberListRequest:
-    """Asks for the whole membership list."""
+    """Asks for the parts of the membership list that differ from the sender's.
+
+    Attributes
+    ----------
+    digests : tuple of int
+        Digests of the parts; empty asks for the whole list.
+    """
+
+    digests: tuple[int, ...] = ()
+
+
+@frozen
+class ProbeRequest:
+    """Asks to probe a node that the sender can't reach."""
+
+    node: str
+
+
+@frozen
+class ProbeReport:
+    """Tells that a node that was probed for another one answers."""
+
+    node: str
 
 
 @frozen
@@ -169,6 +219,39 @@
     config: Config
 
 
+@frozen
+class ConfigDelta:
+    """Carries what changed in a configuration since an older revision.
+
+    Attributes
+    ----------
+    base : int
+        Oldest revision that the changes lead on from.
+    removed : tuple of str
+        Entries that are gone, such as ``keys/branch-1``.
+    notes : tuple of str
+        Notes accepted since the base.
+    entry_revisions : dict
+        Revisions of the entries that were changed or removed.
+    withdrawn_keys : dict
+        Keys withdrawn since the base, by their digest.
+    withdrawn_count : int
+        Number of withdrawn keys in the whole configuration.
+    """
+
+    base: int
+    revision: int
+    organisations: tuple[Organisation, ...] = ()
+    keys: tuple[Key, ...] = ()
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    removed: tuple[str, ...] = ()
+    notes: tuple[str, ...] = ()
+    entry_revisions: dict[str, int] = field(factory=dict)
+    withdrawn_keys: dict[str, WithdrawnKey] = field(factory=dict)
+    withdrawn_count: int = 0
+
+
 @frozen
 class TokenRequest:
     """Asks the token holder of an organisation for call tokens.
@@ -231,55 +314,24 @@
 
 
 @frozen
-class ClaimRequest:
-    """Asks the primary of a partition for the right to run a call once."""
-
-    sequence: int
-    partition: int
-    epoch: int
-    organisation: str
-    key: str
-    fingerprint: int
-
-
-@frozen
-class ClaimReply:
-    """Answers a ``ClaimRequest``.
+class SuspectReport:
+    """Names requests that were at a backend server when it crashed.
 
     Attributes
     ----------
-    granted : bool
-        Whether the asker may run the call.
-    outcome : Outcome
-        What is known of an earlier run, when not granted.
-    response : HttpResponse or None
-        The kept answer of an earlier run.
+    crash : str
+        Names the crash; unique over all nodes and times.
     """
 
-    sequence: int
-    granted: bool
-    outcome: Outcome
-    reason: Reason | None = None
-    response: HttpResponse | None = None
-
-
-@frozen
-class ClaimSettle:
-    """Tells the primary how a claimed call ended."""
-
-    partition: int
-    organisation: str
-    key: str
-    outcome: Outcome
-    response: HttpResponse | None = None
+    node: str
+    crash: str
+    fingerprints: tuple[int, ...]
 
 
 @frozen
-class SuspectReport:
-    """Names requests that were at a backend server when it crashed."""
+class SuspectClearance:
+    """Names requests that a backend server has answered after a crash."""
 
-    node: str
-    crash: str
     fingerprints: tuple[int, ...]
 
 
@@ -301,16 +353,29 @@
     Cancel,
     MemberGossip,
     MemberListRequest,
+    ProbeRequest,
+    ProbeReport,
     ConfigRequest,
     ConfigReply,
+    ConfigDelta,
     TokenRequest,
     TokenGrant,
     LoanRequest,
     Loan,
     ClaimRequest,
     ClaimReply,
+    ClaimRedirect,
     ClaimSettle,
+    ClaimSettled,
+    ClaimReplicate,
+    ClaimReplicated,
+    ClaimTransfer,
+    ClaimTransferred,
+    ClaimCopyWanted,
+    ClaimMapRequest,
+    ClaimMapReply,
     SuspectReport,
+    SuspectClearance,
     PoisonNotice,
 )
 """All types that may travel between nodes."""
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -11,6 +11,8 @@
 from monsoonmill.model import Address
 
 MAX_PORT = 65535
+MAX_PARTITIONS = 1024
+"""More would not fit into one value of the platform's service."""
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -71,7 +73,15 @@
 
 @frozen
 class NodeSettings:
-    """Identity and addresses of a node."""
+    """Identity and addresses of a node.
+
+    Attributes
+    ----------
+    advertise_host : str
+        IP number by which other nodes reach this one; empty for ``host``.
+    advertise_port : int
+        Port by which other nodes reach this one; 0 for ``peer_port``.
+    """
 
     name: str = _text()
     host: str = _text()
@@ -84,6 +94,15 @@
     seeds: tuple[Address, ...] = _addresses()
     log_level: str = field(validator=in_(LOG_LEVELS))
     random_seed: int = _count(0)
+    advertise_host: str = _text()
+    advertise_port: int = _port()
+
+    @property
+    def peer_address(self) -> Address:
+        """Address that other nodes reach this one at."""
+        return Address(
+            self.advertise_host or self.host, self.advertise_port or self.peer_port
+        )
 
 
 @frozen
@@ -91,11 +110,11 @@
     """Variant of each part of the decisions that has several."""
 
     quota: str = field(validator=in_(("unlimited",)))
-    claims: str = field(validator=in_(("none",)))
+    claims: str = field(validator=in_(("paired", "single-home", "none")))
     admission: str = field(validator=in_(("adaptive", "fixed", "all")))
     front_door: str = field(validator=in_(("threads", "open")))
-    health: str = field(validator=in_(("none",)))
-    poison: str = field(validator=in_(("none",)))
+    health: str = field(validator=in_(("passive", "none")))
+    poison: str = field(validator=in_(("on", "none")))
 
 
 @frozen
@@ -161,8 +180,10 @@
 class ClaimSettings:
     """Claims of at-most-once calls."""
 
-    partitions: int = _count()
+    partitions: int = field(validator=[instance_of(int), ge(1), le(MAX_PARTITIONS)])
     retention_s: int = _count()
+    confirm_s: int = _count()
+    lost_s: int = _count()
     max_entries: int = _count()
     max_answer_bytes: int = _count(0)
     max_answers_bytes: int = _count(0)
--- a/tests/test_retry_bound.py
+++ b/tests/test_retry_bound.py
@@ -52,7 +52,7 @@
 
     def run(node, call):
         level = int(call.request.path.rpartition("/")[2])
-        if level == 2 and len(killed) < 2 and node is not fleet.members[0]:
+        if level >= 2 and len(killed) < 2 and node is not fleet.members[0]:
             killed.append(node)
             fleet._later(0.002, lambda: fleet.kill(node))
         return run_level(node, call)
