--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -5,13 +5,17 @@
 from monsoonmill.codec import ConfigCodec
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission import Admission, AdmitAll
+from monsoonmill.decisions.admission_queued import QueuedAdmission
 from monsoonmill.decisions.claims import Claims, NoClaims
 from monsoonmill.decisions.claims_paired import PairedClaims
 from monsoonmill.decisions.claims_single import SingleHomeClaims
 from monsoonmill.decisions.configuration import ConfigView
+from monsoonmill.decisions.front_door import FrontDoor, OpenDoor, ThreadDoor
 from monsoonmill.decisions.health import AllHealthy, Health
+from monsoonmill.decisions.health_passive import PassiveHealth
 from monsoonmill.decisions.membership import Membership
 from monsoonmill.decisions.poison import NoPoison, PoisonGuard
+from monsoonmill.decisions.poison_guard import FleetPoisonGuard
 from monsoonmill.decisions.quota import Quota, UnlimitedQuota
 from monsoonmill.settings import Settings
 
@@ -44,14 +48,29 @@
 
 def make_admission(cfg: Settings) -> Admission:
     """Return the part that gives out slots."""
-    return AdmitAll()
+    if cfg.policy.admission == "all":
+        return AdmitAll()
+    if cfg.policy.admission == "fixed":
+        return QueuedAdmission.fixed(cfg.admission)
+    return QueuedAdmission.adaptive(cfg.admission)
 
 
-def make_health(cfg: Settings) -> Health:
+def make_front_door(cfg: Settings) -> FrontDoor:
+    """Return the bound on the calls in progress at this node."""
+    if cfg.policy.front_door == "open":
+        return OpenDoor()
+    return ThreadDoor(cfg.http)
+
+
+def make_health(cfg: Settings, members: Membership, counters: Counters) -> Health:
     """Return the part that judges other nodes by their answers."""
-    return AllHealthy()
+    if cfg.policy.health == "none":
+        return AllHealthy()
+    return PassiveHealth(cfg.health, members, counters)
 
 
 def make_poison(cfg: Settings, members: Membership, counters: Counters) -> PoisonGuard:
     """Return the part that recognises requests that crash backend servers."""
-    return NoPoison()
+    if cfg.policy.poison == "none":
+        return NoPoison()
+    return FleetPoisonGuard(cfg.poison, members, counters)
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -111,9 +111,10 @@
 
     quota: str = field(validator=in_(("unlimited",)))
     claims: str = field(validator=in_(("paired", "single-home", "none")))
-    admission: str = field(validator=in_(("all",)))
-    health: str = field(validator=in_(("none",)))
-    poison: str = field(validator=in_(("none",)))
+    admission: str = field(validator=in_(("adaptive", "fixed", "all")))
+    front_door: str = field(validator=in_(("threads", "open")))
+    health: str = field(validator=in_(("passive", "none")))
+    poison: str = field(validator=in_(("on", "none")))
 
 
 @frozen
@@ -132,6 +133,7 @@
     """Limits of the HTTP front ends."""
 
     crew_threads: int = _count()
+    reserved_threads: int = _count(0)
     idle_connection_s: int = _count()
     max_header_bytes: int = _count(1024)
     max_body_bytes: int = _count(1024)
@@ -181,6 +183,7 @@
     partitions: int = field(validator=[instance_of(int), ge(1), le(MAX_PARTITIONS)])
     retention_s: int = _count()
     confirm_s: int = _count()
+    lost_s: int = _count()
     max_entries: int = _count()
     max_answer_bytes: int = _count(0)
     max_answers_bytes: int = _count(0)
