--- a/src/monsoonmill/chart.py
+++ b/src/monsoonmill/chart.py
@@ -289,8 +289,11 @@
     def send(self, event: str, arg: object = None) -> bool:
         """Handle an event; return whether a transition was taken.
 
-        The innermost state with an enabled transition handles the event.
+        The innermost state with an enabled transition handles the event; an
+        instance that has finished handles none.
         """
+        if self.finished:
+            return False
         for candidate in self._bound.candidates(self.state, event):
             guard = candidate.guard
             if guard is None or guard(self._owner, arg):
--- a/src/monsoonmill/decisions/claim_replication.py
+++ b/src/monsoonmill/decisions/claim_replication.py
@@ -134,6 +134,14 @@
         """Return whether the backup, if there is one, has its copy already."""
         return self.record.backup is None or self.record.transfer is not None
 
+    def needs_transfer(self, arg):
+        """Return whether the backup needs a copy first."""
+        return not self.needs_no_transfer(arg)
+
+    def has_no_full_copy(self, arg):
+        """Return whether this copy has to be filled."""
+        return not self.has_full_copy(arg)
+
     def has_full_copy(self, arg):
         """Return whether this copy is the one that the record relies on."""
         if self.record.transfer == "":
--- a/src/monsoonmill/load/call_run.py
+++ b/src/monsoonmill/load/call_run.py
@@ -70,6 +70,10 @@
         has_tries = self.attempts <= self.arrival.stream.retries.max
         return has_tries and self.last.status in RETRIED_STATUS
 
+    def may_not_retry(self, arg: object) -> bool:
+        """Return whether the failure ends the call."""
+        return not self.may_retry(arg)
+
     def back_off(self, arg: object) -> None:
         """Wait between half and all of the doubled backoff."""
         backoff_s = self.arrival.stream.retries.backoff_ms / 1000
--- a/src/monsoonmill/standin/faults_link.py
+++ b/src/monsoonmill/standin/faults_link.py
@@ -91,7 +91,8 @@
         if self.closed:
             return
         if self._chart.is_in("connecting") and sock is self._target:
-            self._chart.send("writable")
+            error = self._target.getsockopt(SOL_SOCKET, SO_ERROR)
+            self._chart.send("writable", error)
         elif mask & EVENT_READ:
             self._read(sock)
         self.advance()
@@ -147,9 +148,13 @@
         address = self._target_address
         self._target.connect_ex((address.host, address.port))
 
-    def target_accepted(self, arg: object) -> bool:
+    def target_accepted(self, error: int) -> bool:
         """Return whether the connection to the target is open."""
-        return self._target.getsockopt(SOL_SOCKET, SO_ERROR) == 0
+        return error == 0
+
+    def target_refused(self, error: int) -> bool:
+        """Return whether the connection to the target did not come about."""
+        return error != 0
 
     def reset_client(self, arg: object) -> None:
         """Make the closing of the sockets a reset."""
--- a/tests/test_chart.py
+++ b/tests/test_chart.py
@@ -42,3 +42,24 @@
         assert "unlocked" in str(exc)
     else:
         raise AssertionError("an unbound guard was accepted")
+
+
+def test_finished_instance_handles_no_event_of_its_ancestors():
+    seen = []
+    final = DOOR.replace("- {event: close, target: closed}", "[]").replace(
+        "on entry: note\n        transitions:", "type: final\n        transitions:"
+    )
+    final = final.replace(
+        "    initial: closed\n",
+        "    initial: closed\n    transitions:\n"
+        "      - {event: slam, target: opened, action: note}\n",
+    ).replace("        transitions:\n          []\n", "")
+    chart = Chart.from_yaml(final)
+    bindings = {
+        "unlocked": lambda owner, arg: True,
+        "note": lambda owner, arg: seen.append(arg),
+    }
+    door = chart.bind(bindings).start(None)
+    assert door.send("slam", 1) and door.finished
+    assert not door.send("slam", 2)
+    assert seen == [1]
