Fuzz the frame reader, parts, settings, notes and stored configurations

Arbitrary bytes and values, derandomized; only typed errors come out. It has found nothing so far. MONSOON_FUZZ_EXAMPLES sets the examples of each.

Seen with: pytest tests/test_codec_fuzz.py (150 examples each), 6 passed.

--- /dev/null
+++ b/tests/test_codec_fuzz.py
@@ -0,0 +1,150 @@
+"""Frames, parts, settings and notes from arbitrary input: typed errors only."""
+
+import os
+
+from attrs import fields
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgpack import packb
+
+from monsoonmill.codec_json import JsonConfigCodec
+from monsoonmill.codec_msgpack import MsgpackCodec
+from monsoonmill.errors import (
+    MalformedMessageError,
+    NoteError,
+    ProtocolError,
+    SettingsError,
+)
+from monsoonmill.messages import PEER_MESSAGES, Load, Part, Ping, Reply
+from monsoonmill.model import HttpResponse
+from monsoonmill.node.assembly import Assembly
+from monsoonmill.node.lanes import Lanes
+from monsoonmill.notes import parse_note
+from monsoonmill.reasons import Outcome
+from monsoonmill.settings import Settings
+
+EXAMPLES = int(os.environ.get("MONSOON_FUZZ_EXAMPLES", "150"))
+CHUNK_BYTES = 1024
+MAX_MESSAGE_BYTES = 1 << 20
+CODEC = MsgpackCodec(PEER_MESSAGES)
+fuzz = settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+
+scalars = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(1 << 63), (1 << 64) - 1)
+    | st.floats()
+    | st.text(max_size=20)
+    | st.binary(max_size=20)
+)
+values = st.recursive(
+    scalars,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+NAMES = [cls.__name__ for cls in PEER_MESSAGES]
+FIELDS = sorted({one.name for cls in PEER_MESSAGES for one in fields(cls)})
+
+
+def read(data):
+    """Return what a new reader makes of some bytes, up to a typed error."""
+    found = []
+    try:
+        found.extend(CODEC.reader().feed(data))
+    except ProtocolError as exc:
+        found.append(exc)
+    return found
+
+
+@fuzz
+@given(st.binary(max_size=200))
+def test_fuzz_arbitrary_bytes_on_a_stream(data):
+    read(data)
+
+
+@fuzz
+@given(
+    st.sampled_from(NAMES),
+    st.dictionaries(st.sampled_from(FIELDS), values, max_size=12) | values,
+)
+def test_fuzz_arbitrary_fields_of_each_message(name, content):
+    read(packb([name, content]))
+
+
+@fuzz
+@given(
+    st.lists(st.binary(max_size=6000), max_size=6),
+    st.lists(st.booleans(), max_size=40),
+    st.integers(1, 700),
+)
+def test_fuzz_lanes_round_trip_however_frames_are_cut(bodies, may_send, cut):
+    lanes = Lanes(CODEC, CHUNK_BYTES)
+    long = [make_reply(number, body) for number, body in enumerate(bodies)]
+    pings = [Ping(number) for number in range(len(bodies))]
+    for reply, ping in zip(long, pings, strict=True):
+        lanes.put(reply)
+        lanes.put(ping)
+    data = b"".join(lanes.next_frame(one) or b"" for one in may_send)
+    data += b"".join(iter(lambda: lanes.next_frame(True), None))
+    got = list(receive(data, cut))
+    assert [one for one in got if isinstance(one, Ping)] == pings
+    replies = [one for one in got if isinstance(one, Reply)]
+    assert sorted(replies, key=lambda one: one.attempt) == long
+
+
+def make_reply(number, body):
+    response = HttpResponse(200, (("x", "y"),), body)
+    return Reply(str(number), Outcome.DONE, None, response, number, 0, Load())
+
+
+def receive(data, cut):
+    """Yield the messages of a stream whose bytes come in pieces."""
+    reader, assembly = CODEC.reader(), Assembly(CODEC, MAX_MESSAGE_BYTES)
+    for start in range(0, len(data), cut):
+        for message in reader.feed(data[start : start + cut]):
+            whole = assembly.add(message) if isinstance(message, Part) else message
+            if whole is not None:
+                yield whole
+    reader.finish()
+
+
+@fuzz
+@given(st.dictionaries(st.sampled_from(["node", "call", "peers", "x"]), values))
+def test_fuzz_settings(tables):
+    try:
+        Settings.from_dict(tables)
+    except SettingsError as exc:
+        assert exc.key
+
+
+@fuzz
+@given(
+    st.fixed_dictionaries(
+        {},
+        optional={
+            "note": values,
+            "added": st.dictionaries(
+                st.sampled_from(["organisations", "keys", "routes"]), values, max_size=3
+            ),
+            "withdrawn": values,
+        },
+    )
+    | values
+)
+def test_fuzz_notes(doc):
+    try:
+        parse_note(doc)
+    except NoteError as exc:
+        assert exc.problem
+
+
+@fuzz
+@given(st.binary(max_size=100) | values.map(repr).map(str.encode))
+def test_fuzz_stored_configurations(data):
+    try:
+        JsonConfigCodec().decode(data)
+    except MalformedMessageError:
+        pass
