Judge a crash's company only once it has been collected

Change: the own crashes are noted with the report, 50 ms after the first broken connection, and connections that break later are added to the same crash.

--- a/src/monsoonmill/decisions/poison_guard.py
+++ b/src/monsoonmill/decisions/poison_guard.py
@@ -23,7 +23,7 @@
 from monsoonmill.messages import PoisonNotice, SuspectClearance, SuspectReport
 from monsoonmill.settings import PoisonSettings
 
-COLLECT_S = 0.02
+COLLECT_S = 0.05
 """Connections that break within this time are reported together."""
 TELL_ALL_NODES = 32
 """Up to so many nodes are told directly; in larger fleets others pass it on."""
@@ -77,20 +77,23 @@
         self._table.expire(now)
         if self._report_due is not None and self._report_due <= now:
             self._report_due = None
-            reports, self._lost = self._lost, {}
-            for crash, fingerprints in reports.items():
-                names = tuple(islice(fingerprints, MAX_NAMED))
-                report = SuspectReport(self._members.own.node, crash, names)
-                yield from self._spread(report, crash)
+            for crash, fingerprints in self._lost.items():
+                yield from self._report(crash, fingerprints, now)
+            # Connections of the last crash may still break.
+            self._lost = dict(list(self._lost.items())[-1:])
+
+    def _report(self, crash, fingerprints, now):
+        for fingerprint in fingerprints:
+            self._table.note_crash(fingerprint, crash, len(fingerprints), now)
+        names = tuple(islice(fingerprints, MAX_NAMED))
+        report = SuspectReport(self._members.own.node, crash, names)
+        yield from self._spread(report, crash)
 
     def on_backend_crashed(self, signal: BackendCrashed, now: float):
-        """Take a request that was lost in a crash into account."""
+        """Collect what is lost in a crash, since its number tells of the guilt."""
         own = self._members.own
         crash = f"{own.node}/{own.incarnation}/{signal.crash}"
-        lost = self._lost.setdefault(crash, set())
-        lost.update(signal.fingerprints)
-        for fingerprint in signal.fingerprints:
-            self._table.note_crash(fingerprint, crash, len(lost), now)
+        self._lost.setdefault(crash, set()).update(signal.fingerprints)
         if self._report_due is None:
             self._report_due = now + COLLECT_S
         return ()
@@ -109,16 +112,21 @@
 
     def on_suspect_answered(self, signal: SuspectAnswered, now: float):
         """Clear a suspect that the own backend server has answered."""
-        self._table.clear(signal.fingerprint)
+        self._clear(signal.fingerprint)
         clearance = SuspectClearance((signal.fingerprint,))
         yield from self._spread(clearance, str(signal.fingerprint))
 
     def on_suspect_clearance(self, signal: Received, now: float):
         """Clear suspects that another backend server has answered."""
-        cleared = [self._table.clear(one) for one in signal.message.fingerprints]
+        cleared = [self._clear(one) for one in signal.message.fingerprints]
         if any(cleared) and self._passes_on():
             yield from self._spread(signal.message, str(signal.message.fingerprints))
 
+    def _clear(self, fingerprint):
+        for lost in self._lost.values():
+            lost.discard(fingerprint)
+        return self._table.clear(fingerprint)
+
     def on_poison_notice(self, signal: Received, now: float):
         """Refuse what another node refuses."""
         for fingerprint in signal.message.fingerprints:
