--- a/src/monsoonmill/decisions/member_table.py
+++ b/src/monsoonmill/decisions/member_table.py
@@ -13,7 +13,7 @@
 from monsoonmill.model import Member
 
 MAX_MEMBERS = 4096
-MAX_UPDATES_PER_GOSSIP = 32
+MAX_UPDATES_PER_GOSSIP = 12
 SPREAD_FACTOR = 2
 """An update is sent this often times the logarithm of the fleet's size."""
 
