--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -3,6 +3,7 @@
 from itertools import count
 
 from attrs import define, evolve, field, frozen
+from xxhash import xxh3_64_intdigest
 
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.counters import Counters
@@ -13,6 +14,7 @@
 )
 from monsoonmill.decisions.contexts import ContextTable
 from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.front_door import FrontDoor
 from monsoonmill.decisions.poison import PoisonGuard
 from monsoonmill.decisions.retries import RetryLimiter
 from monsoonmill.decisions.routing import Router
@@ -51,7 +53,8 @@
     Reason.BROKEN_ANSWER: RetryReason.CONNECTION_LOST,
 }
 """Failures that another backend server may not repeat."""
-NO_TRIES_LEFT = 0
+RESERVE_DIVISOR = 2
+"""A call keeps one try in so many to itself, for an attempt without a reply."""
 
 
 @frozen
@@ -80,7 +83,10 @@
     parent : str
         Context token of the parent call; empty for a call from outside.
     tries : int
-        Further tries that this call and those below it may spend.
+        Further tries that this call holds itself.
+    lent_tries : int
+        Further tries that went out with the attempt; its reply returns what is
+        left of them, and without a reply they count as spent.
     attempt : str
         Name of the attempt whose reply is awaited; empty for none.
     node : str
@@ -92,7 +98,7 @@
     was_suspect : bool
         Whether the request was a suspect when the attempt was sent.
     may_have_run : bool
-        Whether an attempt ended of which it is unknown whether it ran.
+        Whether any attempt so far may have run, whatever became of later ones.
     """
 
     arrival: CallArrived
@@ -104,6 +110,7 @@
     arrived_at: float
     parent: str = ""
     tries: int = 0
+    lent_tries: int = 0
     attempt: str = ""
     node: str = ""
     sent_at: float = 0.0
@@ -122,6 +129,21 @@
         """Name of the call in this process."""
         return self.arrival.call
 
+    def lend_tries(self) -> None:
+        """Set tries apart for the next attempt and what it calls."""
+        self.lent_tries = self.tries - self.tries // RESERVE_DIVISOR
+        self.tries -= self.lent_tries
+
+    def take_back_tries(self, left: int) -> None:
+        """Take back what an attempt has not spent.
+
+        If it has spent all, what is tried again here would fail below again.
+        """
+        if self.lent_tries > 0 and left <= 0:
+            self.tries = 0
+        self.tries += min(max(left, 0), self.lent_tries)
+        self.lent_tries = 0
+
     # Guards.
     def pays_a_token(self, arg):
         """Return whether the call counts towards its organisation's rate."""
@@ -186,15 +208,15 @@
 
     def answer_expired(self, arg):
         """Tell the caller that the time is up."""
-        ran = Outcome.UNKNOWN if self.attempt else Outcome.NOT_RUN
+        outcome = self._outcome_so_far()
         self._cancel_attempt(Reason.DEADLINE)
-        self._answer(Answer(self.name, ran, reason=Reason.DEADLINE))
+        self._answer(Answer(self.name, outcome, reason=Reason.DEADLINE))
 
     def abandon(self, arg):
         """Stop what is under way, since nobody waits for the answer."""
-        ran = Outcome.UNKNOWN if self.attempt else Outcome.NOT_RUN
+        outcome = self._outcome_so_far()
         self._cancel_attempt(Reason.CANCELLED)
-        self._answer(Answer(self.name, ran, reason=Reason.CANCELLED))
+        self._answer(Answer(self.name, outcome, reason=Reason.CANCELLED))
 
     def answer_over_rate(self, denied: TokenDenied):
         """Tell the caller that its organisation has spent its rate."""
@@ -206,7 +228,14 @@
             kept = Answer(self.name, denied.outcome, denied.response)
             self._answer(kept)
             return
-        self._answer(Answer(self.name, denied.outcome, reason=denied.reason))
+        self._answer(
+            Answer(
+                self.name,
+                denied.outcome,
+                reason=denied.reason,
+                retry_after_s=denied.retry_after_s,
+            )
+        )
 
     def answer_no_backend_server(self, reason: Reason):
         """Tell the caller that no backend server can take the call."""
@@ -225,7 +254,7 @@
         self._answer(
             Answer(
                 self.name,
-                failure.outcome,
+                self._outcome_so_far(),
                 reason=failure.reason,
                 retry_after_s=failure.retry_after_s,
             )
@@ -237,6 +266,13 @@
         )
         self._answer(refusal)
 
+    def _outcome_so_far(self):
+        """Return what is known when no answer has come."""
+        is_open = self.attempt or self.may_have_run
+        # While the claim is not known, an earlier call of this key may have run.
+        is_unknown = is_open or self.chart.is_in("waiting_for_claim")
+        return Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
+
     def _cancel_attempt(self, reason):
         if self.attempt:
             self.out.append(Send(self.node, Cancel(self.attempt)))
@@ -249,6 +285,15 @@
         self.out.append(answer)
 
 
+def check_whole(reply: Reply) -> Reply:
+    """Return a reply, or the failure that it is if its body is not whole."""
+    if reply.response is None or xxh3_64_intdigest(reply.response.body) == reply.digest:
+        return reply
+    return evolve(
+        reply, outcome=Outcome.UNKNOWN, reason=Reason.BROKEN_ANSWER, response=None
+    )
+
+
 CALL_CHART = bind_methods("call", Call)
 
 
@@ -264,6 +309,7 @@
         router: Router,
         contexts: ContextTable,
         poison: PoisonGuard,
+        front_door: FrontDoor,
         counters: Counters,
     ):
         self.cfg = cfg
@@ -276,6 +322,7 @@
         self._router = router
         self._contexts = contexts
         self._poison = poison
+        self._front_door = front_door
         self._numbers = count(1)
         self._calls: dict[str, Call] = {}
         self._attempts: dict[str, Call] = {}
@@ -352,7 +399,11 @@
             raise RefusedError(Reason.POISON)
         if context.deadline <= now:
             raise RefusedError(Reason.DEADLINE)
-        tries = self._contexts.take_tries(arrival.context) if arrival.context else None
+        is_nested = bool(arrival.context)
+        self._front_door.enter(context.importance, is_nested)
+        tries = self.cfg.call.tries
+        if is_nested:
+            tries = self._contexts.take_tries(arrival.context)
         return Call(
             arrival,
             route,
@@ -362,7 +413,7 @@
             self,
             now,
             parent=arrival.context,
-            tries=self.cfg.call.tries if tries is None else tries,
+            tries=tries,
         )
 
     def _root_context(self, arrival, route, caller, now):
@@ -412,7 +463,14 @@
     # Attempts.
     def start_attempt(self, call: Call) -> None:
         """Send a call to a node, or note that there is none."""
+        if call.now >= call.context.deadline:
+            # After a pause an event can come before the call's own timer.
+            call.out.append(ChartEvent("expire", None))
+            return
         service = call.route.service
+        if call.caller.key and self._authorization.is_withdrawn(call.caller.key):
+            call.out.append(ChartEvent("no_backend_server", Reason.KEY_WITHDRAWN))
+            return
         node = self._router.choose(
             service, call.context.importance, frozenset(call.excluded), call.now
         )
@@ -425,6 +483,7 @@
         call.node = node
         call.sent_at = call.now
         call.was_suspect = self._poison.is_suspect(call.fingerprint)
+        call.lend_tries()
         self._attempts[call.attempt] = call
         self._router.sent(node)
         call.out.append(AttemptStarted(node, call.route.name))
@@ -441,7 +500,7 @@
             importance=context.importance,
             at_most_once=not call.route.idempotent,
             timeout_ms=max(int((context.deadline - call.now) * 1000), 1),
-            tries=call.tries,
+            tries=call.lent_tries,
             depth=context.depth,
             fingerprint=call.fingerprint,
             key=call.caller.key,
@@ -454,8 +513,9 @@
         if call is None or call.node != signal.node:
             self.counters.add("late-replies")
             return
+        reply = check_whole(reply)
         self.forget_attempt(call, reply, now, reply.load)
-        call.tries = min(call.tries, max(reply.tries, NO_TRIES_LEFT))
+        call.take_back_tries(reply.tries)
         if reply.response is not None and reply.reason is None:
             yield from self._send(call.name, "attempt_done", now, reply)
             return
@@ -477,6 +537,7 @@
             return
         call = self._attempts.get(signal.message.attempt)
         if call is not None:
+            call.take_back_tries(call.lent_tries)
             call.failure = Failure(Outcome.NOT_RUN, Reason.UNREACHABLE)
             self.forget_attempt(call, call.failure, now)
             yield from self._fail(call, now)
@@ -545,6 +606,7 @@
     def _finish(self, call, answer, now):
         del self._calls[call.name]
         self._timers.cancel(call.name)
+        self._front_door.leave(call.context.importance, bool(call.parent))
         if call.parent:
             self._contexts.return_tries(call.parent, call.tries)
         if answer.reason is not None:
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -17,6 +17,7 @@
 from monsoonmill.decisions.policies import (
     make_admission,
     make_claims,
+    make_front_door,
     make_health,
     make_poison,
     make_quota,
@@ -67,7 +68,7 @@
         self.poison = make_poison(cfg, self.members, self.counters)
         self.router = Router(self.members, self.health, rng)
         self.quota = make_quota(cfg, self.members, self.view, rng, self.counters)
-        self.claims = make_claims(cfg, self.members, rng, self.counters)
+        self.claims = make_claims(cfg, self.members, codec, rng, self.counters)
         self.admission = make_admission(cfg)
         self.calls = CallFlow(
             cfg,
@@ -77,6 +78,7 @@
             self.router,
             self.contexts,
             self.poison,
+            make_front_door(cfg),
             self.counters,
         )
         self.executions = Executions(
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -1,5 +1,7 @@
 """Executions of calls at the own backend server."""
 
+from collections import OrderedDict
+
 from attrs import define, field
 from xxhash import xxh3_64_intdigest
 
@@ -17,6 +19,7 @@
     Admitted,
     BackendAnnounced,
     BackendCrashed,
+    BackendUnreachable,
     LeaveQueue,
     NotAdmitted,
     Received,
@@ -35,6 +38,9 @@
 
 NOT_RUN_HEADER = "monsoon-outcome"
 SHED_STATUS = 503
+MAX_ENDED = 10_000
+"""Ended attempts whose repeats are recognised."""
+ERROR_STATUS = 500
 ABORT_GRACE_S = 5.0
 """An aborted run that does not end within this time is given up."""
 
@@ -109,6 +115,7 @@
     def abort(self, arg):
         """Stop the request at the backend server."""
         self.out.append(AbortRun(self.forward.attempt))
+        self.executions.set_timer(self.forward.attempt, self.now + ABORT_GRACE_S)
         self._close_context()
 
     def abort_and_reply_expired(self, arg):
@@ -116,17 +123,23 @@
         self.abort(arg)
         self._reply(Outcome.UNKNOWN, Reason.DEADLINE)
 
+    def give_up(self, arg):
+        """Give the slot back of a request whose end was never told."""
+        self.release_slot(RunFinished(self.forward.attempt, None, RunFailure.TIMED_OUT))
+
     def release_slot(self, finished: RunFinished):
         """Give the slot back."""
         self._close_context()
         failure = finished.failure
         response = finished.response
+        is_cut_off = failure in (RunFailure.TIMED_OUT, RunFailure.ABORTED)
         self.out.append(
             SlotReleased(
                 self.forward.attempt,
                 self.now - self.started_at,
                 shed=response is not None and response.status == SHED_STATUS,
-                timed_out=failure in (RunFailure.TIMED_OUT, RunFailure.ABORTED),
+                timed_out=is_cut_off,
+                failed=response is None or response.status >= ERROR_STATUS,
             )
         )
 
@@ -194,6 +207,7 @@
         self._counters = counters
         self._service = ""
         self._executions: dict[str, Execution] = {}
+        self._ended: OrderedDict[str, None] = OrderedDict()
         self._timers = Timers()
 
     def handlers(self):
@@ -221,6 +235,10 @@
         for attempt in self._timers.pop_due(now):
             yield from self._send(attempt, "expire", now)
 
+    def set_timer(self, attempt: str, due: float) -> None:
+        """Let an attempt's chart get ``expire`` at a time."""
+        self._timers.set(attempt, due)
+
     def on_backend_announced(self, signal, now):
         """Remember where the backend server listens."""
         self.backend_address = signal.address
@@ -230,7 +248,7 @@
     def on_forward(self, signal: Received, now):
         """Check an attempt and queue it."""
         forward = signal.message
-        if forward.attempt in self._executions:
+        if forward.attempt in self._executions or forward.attempt in self._ended:
             self._counters.add("repeated-attempts")
             return
         deadline = now + forward.timeout_ms / 1000
@@ -265,8 +283,11 @@
             yield from self._send(signal.message.attempt, "cancel", now)
 
     def on_admitted(self, signal, now):
-        """Run an attempt that has a slot, unless its key has been withdrawn."""
-        yield from self._send(signal.attempt, "admitted", now)
+        """Run an attempt that has a slot, unless its time is up."""
+        execution = self._executions.get(signal.attempt)
+        is_late = execution is not None and now >= execution.deadline
+        event = "expire" if is_late else "admitted"
+        yield from self._send(signal.attempt, event, now)
 
     def on_not_admitted(self, signal, now):
         """Refuse an attempt that gets no slot."""
@@ -286,6 +307,7 @@
             yield BackendCrashed(self._crashes.lose_connection(now), (fingerprint,))
         elif finished.failure is RunFailure.NOT_SENT:
             self._crashes.note_change()
+            yield BackendUnreachable()
         elif finished.response is not None and not _is_not_run(finished.response):
             self._crashes.note_change()
             if self._poison.is_suspect(fingerprint):
@@ -299,10 +321,16 @@
         execution.chart.send(event, arg)
         if execution.chart.finished:
             del self._executions[attempt]
+            self._note_ended(attempt)
             self._timers.cancel(attempt)
         yield from execution.out
         execution.out.clear()
 
+    def _note_ended(self, attempt):
+        self._ended[attempt] = None
+        if len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
+
     def status(self):
         """Return the number of attempts in progress."""
         return {"in_progress": self.in_progress, "service": self._service}
--- a/src/monsoonmill/decisions/membership.py
+++ b/src/monsoonmill/decisions/membership.py
@@ -27,6 +27,7 @@
 from monsoonmill.decisions.partners import Partners
 from monsoonmill.decisions.signals import (
     BackendAnnounced,
+    BackendUnreachable,
     ConfigChanged,
     Connect,
     PeerUp,
@@ -72,6 +73,7 @@
         return {
             **super().handlers(),
             BackendAnnounced: self.on_backend_announced,
+            BackendUnreachable: self.on_backend_unreachable,
             SelfLeaving: self.on_self_leaving,
             PeerUp: self.on_peer_up,
             MemberGossip: self.on_gossip,
@@ -132,6 +134,12 @@
         ttl_s = self.limits.announce_ttl_ms / 1000
         self.timers.set(ANNOUNCEMENT, now + ttl_s)
 
+    def on_backend_unreachable(self, signal, now):
+        """Take no calls until the backend server announces itself again."""
+        if self.own.accepts_calls:
+            self.change_own(accepts_calls=False)
+            yield from self._tell_change(now)
+
     def on_self_leaving(self, signal, now):
         """Tell the fleet that this node takes no more calls."""
         self.change_own(state=MemberState.LEAVING, accepts_calls=False)
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -2,10 +2,15 @@
 
 from random import Random
 
+from monsoonmill.codec import ConfigCodec
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission import Admission, AdmitAll
+from monsoonmill.decisions.admission_queued import QueuedAdmission
 from monsoonmill.decisions.claims import Claims, NoClaims
+from monsoonmill.decisions.claims_paired import PairedClaims
+from monsoonmill.decisions.claims_single import SingleHomeClaims
 from monsoonmill.decisions.configuration import ConfigView
+from monsoonmill.decisions.front_door import FrontDoor, OpenDoor, ThreadDoor
 from monsoonmill.decisions.health import AllHealthy, Health
 from monsoonmill.decisions.health_passive import PassiveHealth
 from monsoonmill.decisions.membership import Membership
@@ -27,15 +32,34 @@
 
 
 def make_claims(
-    cfg: Settings, members: Membership, rng: Random, counters: Counters
+    cfg: Settings,
+    members: Membership,
+    codec: ConfigCodec,
+    rng: Random,
+    counters: Counters,
 ) -> Claims:
     """Return the part that gives out claims."""
+    if cfg.policy.claims == "paired":
+        return PairedClaims(cfg, members, codec, rng, counters)
+    if cfg.policy.claims == "single-home":
+        return SingleHomeClaims(cfg, members, rng, counters)
     return NoClaims()
 
 
 def make_admission(cfg: Settings) -> Admission:
     """Return the part that gives out slots."""
-    return AdmitAll()
+    if cfg.policy.admission == "all":
+        return AdmitAll()
+    if cfg.policy.admission == "fixed":
+        return QueuedAdmission.fixed(cfg.admission)
+    return QueuedAdmission.adaptive(cfg.admission)
+
+
+def make_front_door(cfg: Settings) -> FrontDoor:
+    """Return the bound on the calls in progress at this node."""
+    if cfg.policy.front_door == "open":
+        return OpenDoor()
+    return ThreadDoor(cfg.http)
 
 
 def make_health(cfg: Settings, members: Membership, counters: Counters) -> Health:
--- a/src/monsoonmill/node/peers.py
+++ b/src/monsoonmill/node/peers.py
@@ -15,7 +15,7 @@
     PeerUp,
     Received,
 )
-from monsoonmill.errors import ProtocolError
+from monsoonmill.errors import ProtocolError, TruncatedFrameError
 from monsoonmill.eventlog import get_logger
 from monsoonmill.messages import Hello
 from monsoonmill.model import Address
@@ -219,7 +219,8 @@
 
     def _message(self, stream, message):
         if isinstance(message, ProtocolError):
-            self._counters.add("bad-frames")
+            is_cut = isinstance(message, TruncatedFrameError)
+            self._counters.add("cut-frames" if is_cut else "bad-frames")
             log.warning("bad_frame", peer=stream.address, error=type(message).__name__)
         else:
             yield Received(stream.node, message)
@@ -246,6 +247,24 @@
             yield from self._take_events(stream)
         self._dirty |= self._streams
 
+    @property
+    def has_streams(self) -> bool:
+        """Whether any stream is open."""
+        return bool(self._streams)
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether any stream has bytes to write."""
+        return any(stream.wants_to_write(True) for stream in self._streams)
+
+    def begin_close(self) -> None:
+        """Take no more connections and leave the streams that are open."""
+        self._selector.unregister(self._listener)
+        self._listener.close()
+        for stream in self._streams:
+            stream.leave()
+        self._dirty |= self._streams
+
     def close(self) -> None:
         """Close all sockets."""
         self._listener.close()
--- a/src/monsoonmill/node/stream.py
+++ b/src/monsoonmill/node/stream.py
@@ -159,6 +159,10 @@
         """Return whether there are bytes to write."""
         return self.is_connecting or bool(self._out) or self._lanes.has(may_send_part)
 
+    def leave(self) -> None:
+        """Send nothing more; the stream closes when the other end agrees."""
+        self.chart.send("idle")
+
     def on_connected(self, error: int) -> None:
         """Take the end of the opening of the connection."""
         self.chart.send("broken" if error else "connected")
@@ -195,18 +199,22 @@
         except BlockingIOError:
             return
         except OSError:
-            data = b""
-        if not data:
             self.chart.send("broken")
             return
         self.last_heard = now
         try:
-            for message in self._reader.feed(data):
-                self._take(message, now)
+            self._take_all(data, now)
         except ProtocolError as exc:
             self.events.append(StreamMessage(self, exc))
             self.chart.send("broken")
 
+    def _take_all(self, data, now):
+        for message in self._reader.feed(data):
+            self._take(message, now)
+        if not data:
+            self._reader.finish()
+            self.chart.send("broken")
+
     def _take(self, message, now):
         cls = type(message)
         if cls is Hello:
--- a/src/monsoonmill/node/web.py
+++ b/src/monsoonmill/node/web.py
@@ -2,14 +2,23 @@
 
 from abc import ABC, abstractmethod
 from http import HTTPStatus
+from io import BytesIO
 from json import dumps
+from traceback import format_exc
 
 from attrs import field, frozen
 from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
 from monsoonmill.counters import Counters
+from monsoonmill.eventlog import get_logger
+from monsoonmill.node.bodies import BodyError, read_body
+from monsoonmill.node.headers import OUTCOME, REASON
+from monsoonmill.node.socket_files import open_socket_file
+from monsoonmill.reasons import HTTP_STATUS, Outcome
 from monsoonmill.settings import HttpSettings
 
+log = get_logger("web")
+
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
 QUEUE_LENGTH = 1024
@@ -85,7 +94,7 @@
 
 
 class CountingRequest(HTTPRequest):
-    """Counts the requests that cheroot refuses by itself."""
+    """Counts the requests that cheroot refuses by itself, and writes answers."""
 
     def simple_response(self, status, msg=""):
         """Write a refusal of cheroot's own and count it."""
@@ -93,19 +102,38 @@
         self.server.counters.add("too-large" if code == "413" else "bad-request")
         super().simple_response(status, msg)
 
+    def write_whole(self, body: bytes) -> None:
+        """Write the headers and the body with one call to the kernel."""
+        wfile = self.conn.wfile
+        self.conn.wfile = BytesIO()
+        try:
+            self.ensure_headers_sent()
+            head = self.conn.wfile.getvalue()
+        finally:
+            self.conn.wfile = wfile
+        wfile.write(head + body)
+
 
 class CountingConnection(HTTPConnection):
     """A connection whose refused requests are counted."""
 
     RequestHandlerClass = CountingRequest
 
+    def __init__(self, server, sock, makefile=None):
+        super().__init__(server, sock, open_socket_file)
+
 
 class AppGateway(Gateway):
     """Reads a request, asks the server's app, and writes the response."""
 
     def respond(self):
         """Answer one request."""
-        response = self.req.server.app.respond(self._read(), self.req)
+        try:
+            response = self.req.server.app.respond(self._read(), self.req)
+        except BodyError as exc:
+            self.req.server.counters.add(exc.reason)
+            self.req.close_connection = True
+            response = refuse_body(exc)
         if response is None:
             self.req.close_connection = True
             return
@@ -117,11 +145,8 @@
             (name.decode("latin-1").lower(), value.decode("latin-1"))
             for name, value in req.inheaders.items()
         )
-        has_body = b"Content-Length" in req.inheaders or req.chunked_read
-        body = req.rfile.read() if has_body else b""
-        return WebRequest(
-            req.method.decode("latin-1"), req.uri.decode("latin-1"), headers, body
-        )
+        method, uri = req.method.decode("latin-1"), req.uri.decode("latin-1")
+        return WebRequest(method, uri, headers, read_body(req))
 
     def _write(self, response):
         req = self.req
@@ -133,9 +158,16 @@
         ]
         length = str(len(response.body)).encode()
         req.outheaders.append((b"Content-Length", length))
-        req.send_headers()
-        if req.method != b"HEAD" and response.body:
-            req.write(response.body)
+        req.write_whole(b"" if req.method == b"HEAD" else response.body)
+
+
+def refuse_body(error: BodyError) -> WebResponse:
+    """Return the response to a request whose body can't be read."""
+    reason, outcome = error.reason, Outcome.NOT_RUN.value
+    problem = Problem(
+        HTTP_STATUS[reason], reason.value, str(error), {"outcome": outcome}
+    )
+    return problem.response(((OUTCOME, outcome), (REASON, reason.value)))
 
 
 def _phrase(status):
@@ -181,5 +213,7 @@
         return self.bind_addr[1]
 
     def error_log(self, msg="", level=20, traceback=False):
-        """Count what cheroot reports instead of printing it."""
+        """Count and log what cheroot reports."""
         self.counters.add("http-errors")
+        trace = format_exc() if traceback else ""
+        log.warning("http_error", problem=str(msg), trace=trace)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -53,6 +53,10 @@
         )
         return signals.PlatformDone(signal.request, values, now)
 
+    def refuse(self, signal):
+        """Return the answer of a node that can't reach the platform."""
+        return self._fail(signal, "out of reach")
+
     def _fail(self, signal, problem):
         return signals.PlatformFailed(signal.request, PlatformUnavailableError(problem))
 
@@ -106,7 +110,9 @@
         self.sections = sections
         self.executed: list[tuple[str, signals.RunCall]] = []
         self.cut: set[frozenset] = set()
+        self.hides_platform_from: set[str] = set()
         self.latency_s = LATENCY_S
+        self.damage: Callable = lambda message: message
         self._run = run or answer_ok
         self._rng = Random(seed)
         self._numbers = count(1)
@@ -274,7 +280,7 @@
             lost = signals.PeerUnreachable(signal.node, signal.message)
             self._later(self.latency_s, lambda: self.give(node, lost))
             return
-        received = signals.Received(node.name, signal.message)
+        received = signals.Received(node.name, self.damage(signal.message))
         self._later(self.latency_s, lambda: self._deliver(node, other, received))
 
     def _deliver(self, node, other, received):
@@ -303,7 +309,10 @@
 
     def _call_platform(self, node, signal, wait_s):
         is_watch = isinstance(signal, signals.PlatformWatch)
-        answer = self.platform.perform(signal, self.now)
+        if node.name in self.hides_platform_from:
+            answer = self.platform.refuse(signal)
+        else:
+            answer = self.platform.perform(signal, self.now)
         if is_watch and isinstance(answer, signals.PlatformDone):
             if answer.values[0].version <= signal.after:
                 if wait_s > 0:
