Claim slices in rounds, so that a fleet's first node leaves some

With two real nodes started together one owned all 64 slices: it had listed them before it knew the other. Giving 48 of them back would have cost their capacity for seconds. A node now claims at most 16 between two lists.

--- a/src/monsoonmill/decisions/slices.py
+++ b/src/monsoonmill/decisions/slices.py
@@ -37,6 +37,9 @@
 LIST = "slice-list"
 FIRST_LIST_S = (0.05, 0.15)
 SOON_LIST_S = (2.0, 5.0)
+MAX_CLAIMS_PER_LIST = 16
+"""The first node of a fleet must not claim all before it knows the others."""
+NEXT_CLAIMS_S = (0.5, 1.0)
 LEAST_LIST_S = 30.0
 LIST_PER_NODE_S = 8.0
 """All nodes together list the slices about once in this time."""
@@ -70,6 +73,7 @@
         self._requests: dict[str, Slice] = {}
         self._leaving = False
         self._owners = 0
+        self._wants_more = False
 
     # Reading.
     def owned(self, now: float) -> int:
@@ -232,7 +236,9 @@
         former = [one for one in free if self.is_former(one.record)]
         unowned = [one for one in free if one.record is None]
         wanted = max(self._share() - self.held - len(former), 0)
-        chosen = self.rng.sample(unowned, min(wanted, len(unowned)))
+        wanted = min(wanted, len(unowned))
+        chosen = self.rng.sample(unowned, min(wanted, MAX_CLAIMS_PER_LIST))
+        self._wants_more = wanted > len(chosen)
         for one in (*former, *chosen):
             one.chart.send("claim", now)
 
@@ -247,7 +253,9 @@
 
     def _schedule_list(self, now):
         alive = self._alive()
-        if self._count("owned", "claiming", "waiting") < self.cfg.slices // alive:
+        if self._wants_more:
+            wait_s = self.rng.uniform(*NEXT_CLAIMS_S)
+        elif self._count("owned", "claiming", "waiting") < self.cfg.slices // alive:
             wait_s = self.rng.uniform(*SOON_LIST_S) * 2
         else:
             wait_s = max(LEAST_LIST_S, LIST_PER_NODE_S * alive)
--- a/tests/test_quota_escrow.py
+++ b/tests/test_quota_escrow.py
@@ -1,7 +1,7 @@
 """Rates hold over the fleet, and capacity stays usable, when parts of it fail."""
 
 from monsoonmill.decisions.signals import DrainRequested
-from tests.quota_fleet import make_quota_fleet
+from tests.quota_fleet import QuotaFleet, make_quota_fleet
 
 RATE = 20.0
 TERM_S = 2.0
@@ -121,3 +121,18 @@
     fleet.advance(2)
     fleet.drive(10, RATE, lambda now: fleet.rng.choice(nodes))
     assert 36 <= fleet.given["branch"] <= 42
+
+
+def test_first_node_of_a_fleet_leaves_slices_to_those_that_start_after_it():
+    sections = {"policy": {"quota": "escrow"}, "quota": {"slices": 64}}
+    fleet = QuotaFleet(**sections)
+    nodes = [fleet.add()]
+    fleet.advance(0.4)
+    nodes += [fleet.add() for _ in range(3)]
+    fleet.advance(2)
+    owned = [node.core.quota.slices.owned(fleet.now) for node in nodes]
+    assert owned[0] == 16 and min(owned) > 0
+    # Claims of the same slice at once are made up for by a later list.
+    fleet.advance(10)
+    owned = [node.core.quota.slices.owned(fleet.now) for node in nodes]
+    assert owned == [16, 16, 16, 16]
