--- a/tests/test_quota_escrow.py
+++ b/tests/test_quota_escrow.py
@@ -115,6 +115,20 @@
     run_at_rate(fleet, [*others, nodes[1]], 3, share=2.0)
 
 
+def test_paused_holder_grants_nothing_of_loans_that_ended():
+    fleet, nodes = make_quota_fleet()
+    run_at_rate(fleet, nodes, 3, share=4.0)
+    holder = fleet.nodes[nodes[0].core.quota.holder("branch")]
+    others = [node for node in nodes if node is not holder]
+    fleet.pause(holder)
+    run_at_rate(fleet, others, 3, share=4.0)
+    fleet.want(holder, calls=20)
+    fleet.resume(holder)
+    held = holder.core.quota.held["branch"].tokens
+    assert set(held.loans) <= {holder.name}
+    run_at_rate(fleet, nodes, 3, share=4.0)
+
+
 def test_rate_change_by_release_note_is_followed():
     fleet, nodes = make_quota_fleet()
     fleet.change_rate(4.0, 2.0)
