Tell a node that the claim map names it no more

Cause: the node that changed the map told the nodes of the new records only. A leaving node learned up to 15 s later that its copies were gone, and its drain waited for that, refusing calls meanwhile. Seen in the integration test of replacing all nodes: 2774 tries answered draining.

A change that waited for word from the platform is now also made at once when it comes; that alone changed nothing here (14.71, 7.81, 9.26 s). A new test bounds the drain. Pause detection moves to a module of its own.

--- a/src/monsoonmill/decisions/claim_map.py
+++ b/src/monsoonmill/decisions/claim_map.py
@@ -221,10 +221,10 @@
             yield from self._spread(changed)
 
     def _nodes_of_changes(self):
-        old = self.claim_map.records if self.claim_map else ()
-        changed = set(self._proposed.records) - set(old)
-        nodes = {one.primary.node for one in changed}
-        return nodes | {one.backup.node for one in changed if one.backup is not None}
+        """Return the nodes that changed records name, or named before."""
+        old = set(self.claim_map.records) if self.claim_map else set()
+        changed = old.symmetric_difference(self._proposed.records)
+        return {one.node for record in changed for one in record.holders}
 
     def _spread(self, nodes):
         nodes = nodes | {self._reader()}
--- a/src/monsoonmill/decisions/claims_paired.py
+++ b/src/monsoonmill/decisions/claims_paired.py
@@ -184,6 +184,8 @@
         if signal.request in (READ, SWAP):
             yield from self.keeper.on_done(signal, now)
             yield from self._follow_map(now)
+            # A change that waited for word from the platform can be made now.
+            self.review.soon(now, PREPARED_JITTER_S)
 
     def on_platform_failed(self, signal, now):
         """Look again later."""
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -12,6 +12,7 @@
 from monsoonmill.decisions.contexts import ContextTable
 from monsoonmill.decisions.crashes import CrashCounter
 from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.pauses import PauseWatch
 from monsoonmill.decisions.poison import PoisonGuard
 from monsoonmill.decisions.signals import (
     AbortRun,
@@ -40,10 +41,6 @@
 SHED_STATUS = 503
 BEAT = "beat"
 BEAT_S = 0.5
-STALL_S = 5.0
-"""A node that did nothing for this long was paused."""
-STALE_S = 1.0
-"""After a pause, what came in during it may turn up for this long."""
 MAX_ENDED = 10_000
 """Ended attempts whose repeats are recognised."""
 ERROR_STATUS = 500
@@ -213,8 +210,7 @@
         self._counters = counters
         self._service = ""
         self._executions: dict[str, Execution] = {}
-        self._awake_at: float | None = None
-        self._stale_until = float("-inf")
+        self._pauses = PauseWatch(counters)
         self._ended: OrderedDict[str, None] = OrderedDict()
         self._timers = Timers()
 
@@ -245,23 +241,12 @@
 
     def tick(self, now):
         """End the attempts whose time is up."""
-        self._notice_pause(now)
+        self._pauses.note_awake(now)
         for attempt in self._timers.pop_due(now):
             if attempt == BEAT:
                 self._timers.set(BEAT, now + BEAT_S)
             yield from self._send(attempt, "expire", now)
 
-    def _notice_pause(self, now):
-        """Remember when a pause has ended.
-
-        A message's time limit counts from its receipt, so one that waited
-        here through a pause may be long past it.
-        """
-        if self._awake_at is not None and now - self._awake_at > STALL_S:
-            self._counters.add("pauses")
-            self._stale_until = now + STALE_S
-        self._awake_at = now
-
     def set_timer(self, attempt: str, due: float) -> None:
         """Let an attempt's chart get ``expire`` at a time."""
         self._timers.set(attempt, due)
@@ -274,7 +259,7 @@
 
     def on_forward(self, signal: Received, now):
         """Check an attempt and queue it."""
-        self._notice_pause(now)
+        self._pauses.note_awake(now)
         forward = signal.message
         if forward.attempt in self._executions or forward.attempt in self._ended:
             self._counters.add("repeated-attempts")
@@ -298,7 +283,7 @@
             raise RefusedError(Reason.NO_BACKEND_SERVER)
         if self.draining:
             raise RefusedError(Reason.DRAINING)
-        if forward.at_most_once and now < self._stale_until:
+        if forward.at_most_once and self._pauses.may_be_stale(now):
             raise RefusedError(Reason.UNREACHABLE)
         if forward.key and self._authorization.is_withdrawn(forward.key):
             raise RefusedError(Reason.KEY_WITHDRAWN)
--- a/tests/test_claims_paired.py
+++ b/tests/test_claims_paired.py
@@ -287,6 +287,15 @@
     assert len(fleet.executed) == 1
 
 
+def test_leaving_node_hands_its_copies_over_within_seconds():
+    fleet = ready_fleet(4, claims={"partitions": 64})
+    for node in nodes_of(fleet)[:2]:
+        fleet.give(node, DrainRequested())
+        assert fleet.advance_until(lambda node=node: node.drained, limit_s=4.0)
+        fleet.kill(node)
+        fleet.advance(5)
+
+
 def test_full_table_refuses_new_claims_as_not_run():
     fleet = ready_fleet(2, claims={"max_entries": 3})
     names = [fleet.pledge(nodes_of(fleet)[0], f"k{number}") for number in range(20)]
