--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -17,8 +17,17 @@
 from monsoonmill.decisions.poison import NoPoison, PoisonGuard
 from monsoonmill.decisions.poison_guard import FleetPoisonGuard
 from monsoonmill.decisions.quota import Quota, UnlimitedQuota
+from monsoonmill.decisions.quota_escrow import EscrowQuota
+from monsoonmill.decisions.quota_parking import QuotaParts
+from monsoonmill.decisions.quota_variants import FixedSlicesQuota, SingleHolderQuota
 from monsoonmill.settings import Settings
 
+BOUNDED_QUOTAS = {
+    "escrow": EscrowQuota,
+    "fixed-slices": FixedSlicesQuota,
+    "single-holder": SingleHolderQuota,
+}
+
 
 def make_quota(
     cfg: Settings,
@@ -28,7 +37,10 @@
     counters: Counters,
 ) -> Quota:
     """Return the part that gives out tokens."""
-    return UnlimitedQuota()
+    name = cfg.policy.quota
+    if name == "unlimited":
+        return UnlimitedQuota()
+    return BOUNDED_QUOTAS[name](QuotaParts(cfg.quota, members, view, rng, counters))
 
 
 def make_claims(
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -13,6 +13,7 @@
 MAX_PORT = 65535
 MAX_PARTITIONS = 1024
 """More would not fit into one value of the platform's service."""
+QUOTA_POLICIES = ("escrow", "fixed-slices", "single-holder", "unlimited")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -109,7 +110,7 @@
 class PolicySettings:
     """Variant of each part of the decisions that has several."""
 
-    quota: str = field(validator=in_(("unlimited",)))
+    quota: str = field(validator=in_(QUOTA_POLICIES))
     claims: str = field(validator=in_(("paired", "single-home", "none")))
     admission: str = field(validator=in_(("adaptive", "fixed", "all")))
     front_door: str = field(validator=in_(("threads", "open")))
