Take calls only once the node knows the configuration and others

Cause: a node that had just started refused pledges as over-rate, since it took itself for the token holder before it had heard of anybody (seen by a rolling replacement with real processes, 2 pledges at a rate far below their limit). Ruled out: longer parking of calls, which also delays just refusals.

--- a/src/monsoonmill/chart.py
+++ b/src/monsoonmill/chart.py
@@ -201,9 +201,15 @@
             for name in chart.states
         }
 
-    def start(self, owner: object) -> "ChartInstance":
-        """Return an instance in the chart's initial state."""
-        return ChartInstance(self, owner)
+    def start(self, owner: object, arg: object = None) -> "ChartInstance":
+        """Return an instance in the chart's initial state.
+
+        Parameters
+        ----------
+        arg : object
+            Argument of the entry actions.
+        """
+        return ChartInstance(self, owner, arg)
 
     def candidates(self, state: str, event: str) -> tuple[Candidate, ...]:
         """Return the transitions for an event, innermost state first."""
@@ -271,11 +277,11 @@
 
     __slots__ = ("_bound", "_owner", "state")
 
-    def __init__(self, bound: BoundChart, owner: object):
+    def __init__(self, bound: BoundChart, owner: object, arg: object = None):
         self._bound = bound
         self._owner = owner
         self.state = bound.chart.root
-        self._carry_out(bound.initial_steps, None)
+        self._carry_out(bound.initial_steps, arg)
 
     @property
     def finished(self) -> bool:
--- a/src/monsoonmill/decisions/configuration.py
+++ b/src/monsoonmill/decisions/configuration.py
@@ -71,6 +71,7 @@
         self._pending: dict[str, PendingNote] = {}
         self._adoptable: list[Config] = []
         self._watched_version = 0
+        self.has_read = False
         self._watching = False
         self._wants_watch = False
         self._asked_at = float("-inf")
@@ -132,6 +133,7 @@
         yield from self._drain(note, now)
 
     def _on_stored(self, signal, now):
+        self.has_read = True
         is_news = False
         for stored in signal.values:
             if stored.version > self._watched_version and stored.value is not None:
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -1,7 +1,6 @@
 """All decisions of one node, behind one bus of signals."""
 
 from collections.abc import Callable, Iterator
-from itertools import count
 from random import Random
 
 from monsoonmill.codec import ConfigCodec
@@ -22,6 +21,7 @@
     make_poison,
     make_quota,
 )
+from monsoonmill.decisions.readiness import Readiness
 from monsoonmill.decisions.routing import Router
 from monsoonmill.decisions.seed_directory import SeedDirectory
 from monsoonmill.decisions.signals import StatusReport, StatusWanted
@@ -97,7 +97,7 @@
         )
         self.watchers = WatcherChoice(cfg, self.members, self.register)
         self.seeds = SeedDirectory(cfg, self.members, rng)
-        self._numbers = count(1)
+        self.readiness = Readiness(cfg, self.members, self.view, self.register)
         self._bus = SignalBus(
             node,
             (
@@ -114,6 +114,7 @@
                 self.executions,
                 self.draining,
                 self.watchers,
+                self.readiness,
                 self.seeds,
             ),
         )
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -478,6 +478,11 @@
 
 
 # Life of the node.
+@frozen
+class Ready:
+    """The node knows enough to take calls."""
+
+
 @frozen
 class DrainRequested:
     """Leave the fleet gracefully."""
--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -25,6 +25,8 @@
 
 TOKEN_BYTES = 16
 ADMIN_THREADS = 3
+READY_LIMIT_S = 5.0
+"""Longest wait for what a node needs to know before it takes calls."""
 SWITCH_INTERVAL_S = 0.0005
 """Longest time that a thread keeps the interpreter while another waits."""
 
@@ -83,7 +85,7 @@
         )
 
     def start(self) -> None:
-        """Open the ports and begin to serve.
+        """Open the ports and begin to serve; callers come last.
 
         Raises
         ------
@@ -96,8 +98,12 @@
             except OSError as exc:
                 port = server.bind_addr[1]
                 raise SettingsError("settings", "node", f"port {port}: {exc}") from exc
-            Thread(target=server.serve, daemon=True).start()
         self.task.start()
+        call_server, *others = self.servers
+        for server in others:
+            Thread(target=server.serve, daemon=True).start()
+        self.task.ready.wait(READY_LIMIT_S)
+        Thread(target=call_server.serve, daemon=True).start()
 
     def drain(self) -> None:
         """Leave the fleet and wait until nothing is in progress."""
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -23,6 +23,7 @@
     PlatformRead,
     PlatformSwap,
     PlatformWatch,
+    Ready,
     RunCall,
     Send,
     StatusReport,
@@ -64,6 +65,8 @@
 
     Attributes
     ----------
+    ready : threading.Event
+        Set when the node knows enough to take calls.
     drained : threading.Event
         Set when nothing is in progress after a drain.
     """
@@ -76,6 +79,7 @@
         clock: Clock,
     ):
         super().__init__("node")
+        self.ready = Event()
         self.drained = Event()
         self._cfg = cfg
         self._core = core
@@ -112,6 +116,7 @@
             PlatformWatch: self._watch_platform,
             AddressLearned: self._learn_address,
             Drained: self._tell_drained,
+            Ready: self._tell_ready,
         }
 
     def _platform_task(self, name):
@@ -236,6 +241,9 @@
     def _learn_address(self, signal):
         self._peers.learn(signal.node, signal.address, signal.region)
 
+    def _tell_ready(self, signal):
+        self.ready.set()
+
     def _tell_drained(self, signal):
         log.info("drained")
         self._is_drained = True
