Draw the claims' random numbers from a stream of their own

Cause: claims shared the core's stream, so that each change of theirs moved the random choices of routing and gossip, and seeded tests of other parts with them: with the last change tests/test_retry_bound.py and one more of tests/test_health.py failed, and pass now.

--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -67,7 +67,8 @@
         self.poison = make_poison(cfg, self.members, self.counters)
         self.router = Router(self.members, self.health, rng)
         self.quota = make_quota(cfg, self.members, self.view, rng, self.counters)
-        self.claims = make_claims(cfg, self.members, codec, rng, self.counters)
+        claims_rng = Random(f"{seed}/{node}/claims")
+        self.claims = make_claims(cfg, self.members, codec, claims_rng, self.counters)
         self.admission = make_admission(cfg)
         self.calls = CallFlow(
             cfg,
