Check a queued call's key before it runs; one way to start programs and read settings

A call that waited for a slot ran although its key had been withdrawn meanwhile (test_key_withdrawal failed first: 2 executions, 1 now). Clean-up: fields and files of settings have modules of their own and public names; all programs start through program.py; counters of a node's process are locked, since the front ends' workers add to them too.

--- a/src/monsoonmill/counters.py
+++ b/src/monsoonmill/counters.py
@@ -11,7 +11,10 @@
 
 
 class Counters:
-    """Counts events by name; names come from enums."""
+    """Counts events by name; names come from enums.
+
+    An instance belongs to one task.
+    """
 
     def __init__(self):
         self._counts = Counter()
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -41,6 +41,8 @@
         Larger than that of any earlier process at this address.
     make_token : callable
         Returns a token that can't be guessed.
+    counters : Counters, optional
+        Where to count; own counters if none are given.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         incarnation: int,
         codec: ConfigCodec,
         make_token: Callable[[], str],
+        counters: Counters | None = None,
     ):
         node = cfg.node.name or str(address)
         seed = cfg.node.random_seed or incarnation
@@ -58,7 +61,7 @@
             node, incarnation, 1, address, cfg.node.region, cfg.node.data_centre
         )
         self.node = node
-        self.counters = Counters()
+        self.counters = counters or Counters()
         self.view = ConfigView()
         self.register = ConfigRegister(cfg, self.view, codec, rng)
         self.members = Membership(cfg, own, self.view, rng)
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -111,6 +111,11 @@
         self.leave_queue(arg)
         self._reply(Outcome.NOT_RUN, Reason.DEADLINE)
 
+    def reply_key_withdrawn(self, arg):
+        """Tell the sender that the key was withdrawn before the attempt ran."""
+        self.leave_queue(arg)
+        self._reply(Outcome.NOT_RUN, Reason.KEY_WITHDRAWN)
+
     def leave_queue(self, arg):
         """Give up the place in the queue."""
         self.out.append(LeaveQueue(self.forward.attempt))
@@ -298,11 +303,20 @@
             yield from self._send(signal.message.attempt, "cancel", now)
 
     def on_admitted(self, signal, now):
-        """Run an attempt that has a slot, unless its time is up."""
+        """Run an attempt that has a slot, if its time and its key allow it."""
         execution = self._executions.get(signal.attempt)
-        is_late = execution is not None and now >= execution.deadline
-        event = "expire" if is_late else "admitted"
-        yield from self._send(signal.attempt, event, now)
+        if execution is not None:
+            event = self._event_at_slot(execution, now)
+            yield from self._send(signal.attempt, event, now)
+
+    def _event_at_slot(self, execution, now):
+        if now >= execution.deadline:
+            return "expire"
+        key = execution.forward.key
+        if key and self._authorization.is_withdrawn(key):
+            self._counters.add(Reason.KEY_WITHDRAWN)
+            return "key_withdrawn"
+        return "admitted"
 
     def on_not_admitted(self, signal, now):
         """Refuse an attempt that gets no slot."""
--- a/src/monsoonmill/decisions/seed_directory.py
+++ b/src/monsoonmill/decisions/seed_directory.py
@@ -21,7 +21,8 @@
 from monsoonmill.decisions.watchers import choose_watchers
 from monsoonmill.errors import PlatformConflictError
 from monsoonmill.model import MemberState
-from monsoonmill.settings import Settings, parse_address
+from monsoonmill.settings import Settings
+from monsoonmill.settings_fields import parse_address
 
 SEED_PREFIX = "seeds/"
 SEED_LEASE_S = 60.0
--- a/src/monsoonmill/load/plan.py
+++ b/src/monsoonmill/load/plan.py
@@ -5,15 +5,15 @@
 
 from monsoonmill.model import OPEN_ORGANISATION, Address
 from monsoonmill.reasons import Importance
-from monsoonmill.settings import (
+from monsoonmill.settings_fields import (
     LOG_LEVELS,
-    _addresses,
-    _count,
-    _number,
-    _positive,
-    _text,
+    addresses_field,
+    count_field,
+    number_field,
+    positive_field,
+    text_field,
 )
-from monsoonmill.standin.options import load_settings
+from monsoonmill.settings_files import load_settings
 from monsoonmill.standin.tables import tables
 
 SHIPPED_DEFAULTS = "load.toml"
@@ -62,8 +62,8 @@
         Time of the last arrival; 0 for the end of the run.
     """
 
-    name: str = _text()
-    service: str = _text()
+    name: str = text_field()
+    service: str = text_field()
     rate_per_s: float = field(converter=float, validator=gt(0))
     path: str = _default_text("/")
     method: str = _default_text("GET")
@@ -88,7 +88,7 @@
 class OwedRate:
     """Rate and burst that an organisation is owed."""
 
-    name: str = _text()
+    name: str = text_field()
     rate: float = field(converter=float, validator=gt(0))
     burst: float = field(converter=float, validator=gt(0))
 
@@ -103,16 +103,16 @@
 class LoadPlan:
     """A run of the load generator."""
 
-    addresses: tuple[Address, ...] = _addresses()
-    duration_s: float = _positive()
-    callers: int = _count()
-    late_ms: int = _count(0)
-    drain_s: float = _number()
-    grace_ms: int = _count(0)
-    random_seed: int = _count(0)
-    run: str = _text()
-    output: str = _text()
-    plot: str = _text()
+    addresses: tuple[Address, ...] = addresses_field()
+    duration_s: float = positive_field()
+    callers: int = count_field()
+    late_ms: int = count_field(0)
+    drain_s: float = number_field()
+    grace_ms: int = count_field(0)
+    random_seed: int = count_field(0)
+    run: str = text_field()
+    output: str = text_field()
+    plot: str = text_field()
     log_level: str = field(validator=in_(LOG_LEVELS))
     organisations: tuple[OwedRate, ...] = tables(OwedRate)
     streams: tuple[StreamPlan, ...] = tables(StreamPlan, _has_unique_names)
--- a/src/monsoonmill/load/program.py
+++ b/src/monsoonmill/load/program.py
@@ -10,7 +10,7 @@
 from monsoonmill.load.driver import run_load
 from monsoonmill.load.plan import LoadPlan
 from monsoonmill.load.plot import plot_result
-from monsoonmill.standin.options import run_program
+from monsoonmill.program import run_service
 
 
 def monsoon_load(
@@ -85,7 +85,7 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run the program and return its exit status."""
-    return run_program(monsoon_load, run, argv)
+    return run_service(monsoon_load, run, argv)
 
 
 if __name__ == "__main__":
--- a/src/monsoonmill/node/ingress.py
+++ b/src/monsoonmill/node/ingress.py
@@ -23,7 +23,7 @@
 )
 from monsoonmill.node.web import App, Problem, WebRequest, WebResponse
 from monsoonmill.reasons import HTTP_STATUS, Outcome, Reason
-from monsoonmill.settings import parse_address
+from monsoonmill.settings_fields import parse_address
 from monsoonmill.task import Inbox
 
 BEARER = "bearer "
--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -1,7 +1,7 @@
 """The ``monsoon-node`` program."""
 
+import sys
 from secrets import token_hex
-from sys import setswitchinterval
 from threading import Thread
 from time import time_ns
 
@@ -16,9 +16,10 @@
 from monsoonmill.node.admin import AdminApp
 from monsoonmill.node.desk import NodeDesk
 from monsoonmill.node.ingress import BackendApp, CallApp
+from monsoonmill.node.shared_counters import SharedCounters
 from monsoonmill.node.task import NodeTask
 from monsoonmill.node.web import AppServer
-from monsoonmill.program import run_program, set_up_logs, stop_event
+from monsoonmill.program import run_service, set_up_logs, stop_event
 from monsoonmill.settings import Settings
 
 log = get_logger("program")
@@ -48,6 +49,7 @@
             read_incarnation(),
             config_codec,
             lambda: token_hex(TOKEN_BYTES),
+            SharedCounters(),
         )
         codec = MsgpackCodec(PEER_MESSAGES)
         self.task = NodeTask(cfg, self.core, codec, SystemClock())
@@ -119,17 +121,21 @@
         self.task.join(1.0)
 
 
-def serve(config: str | None = None) -> None:
-    """Run a node until SIGTERM, which drains it.
+def monsoon_node(config: str | None = None) -> Settings:
+    """Run a node beside a backend server until SIGTERM, which drains it.
 
     Parameters
     ----------
     config : str, optional
         Settings file in TOML that overlays the defaults.
     """
-    cfg = Settings.from_file(config)
+    return Settings.from_file(None if config is None else str(config))
+
+
+def serve(cfg: Settings) -> int:
+    """Run a node until it is asked to end, and return the exit status."""
     set_up_logs(cfg.node.log_level)
-    setswitchinterval(SWITCH_INTERVAL_S)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     stopped = stop_event()
     node = Node.from_settings(cfg)
     node.start()
@@ -139,12 +145,13 @@
     node.drain()
     node.stop()
     log.info("ended", node=node.core.node)
+    return 0
 
 
-def main() -> None:
-    """Run the command line."""
-    run_program(serve, "monsoon-node")
+def main(argv: list[str] | None = None) -> int:
+    """Run the program and return its exit status."""
+    return run_service(monsoon_node, serve, argv)
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
--- a/src/monsoonmill/notes.py
+++ b/src/monsoonmill/notes.py
@@ -16,7 +16,7 @@
     WithdrawnKey,
 )
 from monsoonmill.reasons import Importance
-from monsoonmill.settings import read_toml
+from monsoonmill.settings_files import read_toml
 
 MAX_NOTES_KEPT = 1000
 """Accepted notes that are remembered; an older one is refused as stale."""
--- a/src/monsoonmill/platform/program.py
+++ b/src/monsoonmill/platform/program.py
@@ -1,20 +1,15 @@
 """Command line of ``monsoon-platform``."""
 
 import sys
-from signal import SIGINT, SIGTERM, signal
 
 from absl import logging
-from fire import Fire
 
-from monsoonmill.errors import UserError
 from monsoonmill.platform.server import StandIn
 from monsoonmill.platform.standin_settings import StandInSettings
-from monsoonmill.task import Inbox, Stop
+from monsoonmill.program import run_service, stop_event
 
-USER_ERROR_STATUS = 2
 
-
-def read_settings(config: str | None = None) -> StandInSettings:
+def monsoon_platform(config: str | None = None) -> StandInSettings:
     """Run a stand-in of the platform's key-value service for tests.
 
     Parameters
@@ -25,32 +20,21 @@
     return StandInSettings.from_file(None if config is None else str(config))
 
 
-def serve(settings: StandInSettings) -> None:
-    """Serve until the process is asked to end."""
+def serve(settings: StandInSettings) -> int:
+    """Serve until the process is asked to end, and return the exit status."""
     logging.set_verbosity(settings.server.log_level)
-    inbox = Inbox()
-    for number in (SIGTERM, SIGINT):
-        signal(number, lambda *args: inbox.post(Stop()))
+    stopped = stop_event()
     stand_in = StandIn.from_settings(settings).start()
     print(f"ready {stand_in.port}", flush=True)
-    inbox.take()
+    stopped.wait()
     stand_in.stop()
+    return 0
 
 
-def main() -> None:
-    """Parse the command line and serve."""
-    try:
-        settings = Fire(read_settings, name="monsoon-platform", serialize=_no_output)
-        if isinstance(settings, StandInSettings):
-            serve(settings)
-    except UserError as exc:
-        print(exc, file=sys.stderr)
-        sys.exit(USER_ERROR_STATUS)
-
-
-def _no_output(settings):
-    return None
+def main(argv: list[str] | None = None) -> int:
+    """Run the program and return its exit status."""
+    return run_service(monsoon_platform, serve, argv)
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
--- a/src/monsoonmill/platform/standin_settings.py
+++ b/src/monsoonmill/platform/standin_settings.py
@@ -7,7 +7,8 @@
 from attrs import field, frozen
 from attrs.validators import ge, in_, instance_of, le
 
-from monsoonmill.settings import LOG_LEVELS, MAX_PORT, build_sections, read_toml
+from monsoonmill.settings_fields import LOG_LEVELS, MAX_PORT
+from monsoonmill.settings_files import build_sections, read_toml
 
 MAX_DELAY_MS = 3_600_000
 """Longest delay of a call in mode slow."""
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -1,75 +1,25 @@
-"""Settings of the programs: shipped defaults, overlaid by a TOML file."""
+"""Settings of a node: shipped defaults, overlaid by a TOML file."""
 
-from importlib.resources import files
-from pathlib import Path
-from tomllib import TOMLDecodeError, loads
+from attrs import field, frozen
+from attrs.validators import ge, in_, instance_of, le
 
-from attrs import field, fields, frozen
-from attrs.validators import ge, gt, in_, instance_of, le
-
-from monsoonmill.errors import SettingsError
 from monsoonmill.model import Address
-
-MAX_PORT = 65535
+from monsoonmill.settings_fields import (
+    LOG_LEVELS,
+    addresses_field,
+    count_field,
+    number_field,
+    port_field,
+    positive_field,
+    share_field,
+    text_field,
+)
+from monsoonmill.settings_files import build_sections, read_shipped, read_toml
+
+SHIPPED_DEFAULTS = "defaults.toml"
 MAX_PARTITIONS = 1024
 """More would not fit into one value of the platform's service."""
 QUOTA_POLICIES = ("escrow", "fixed-slices", "single-holder", "unlimited")
-LOG_LEVELS = ("debug", "info", "warning", "error")
-
-
-def _port():
-    return field(validator=[instance_of(int), ge(0), le(MAX_PORT)])
-
-
-def _count(least=1):
-    return field(validator=[instance_of(int), ge(least)])
-
-
-def _number(least=0.0):
-    return field(converter=_int_to_float, validator=[instance_of(float), ge(least)])
-
-
-def _positive():
-    return field(converter=_int_to_float, validator=[instance_of(float), gt(0.0)])
-
-
-def _share():
-    return field(
-        converter=_int_to_float, validator=[instance_of(float), gt(0.0), le(1.0)]
-    )
-
-
-def _text():
-    return field(validator=instance_of(str))
-
-
-def _addresses():
-    return field(converter=_parse_addresses)
-
-
-def _int_to_float(value):
-    is_int = isinstance(value, int) and not isinstance(value, bool)
-    return float(value) if is_int else value
-
-
-def parse_address(text: str) -> Address:
-    """Return the address written as ``host:port``.
-
-    Raises
-    ------
-    ValueError
-        The text has no port or the port is out of range.
-    """
-    host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"{text!r} is no address like 127.0.0.1:7001")
-    return Address(host, int(port))
-
-
-def _parse_addresses(values):
-    if not isinstance(values, list | tuple):
-        raise TypeError("must be a list of addresses")
-    return tuple(parse_address(value) for value in values)
 
 
 @frozen
@@ -84,19 +34,19 @@
         Port by which other nodes reach this one; 0 for ``peer_port``.
     """
 
-    name: str = _text()
-    host: str = _text()
-    call_port: int = _port()
-    peer_port: int = _port()
-    admin_port: int = _port()
-    backend_port: int = _port()
-    region: str = _text()
-    data_centre: str = _text()
-    seeds: tuple[Address, ...] = _addresses()
+    name: str = text_field()
+    host: str = text_field()
+    call_port: int = port_field()
+    peer_port: int = port_field()
+    admin_port: int = port_field()
+    backend_port: int = port_field()
+    region: str = text_field()
+    data_centre: str = text_field()
+    seeds: tuple[Address, ...] = addresses_field()
     log_level: str = field(validator=in_(LOG_LEVELS))
-    random_seed: int = _count(0)
-    advertise_host: str = _text()
-    advertise_port: int = _port()
+    random_seed: int = count_field(0)
+    advertise_host: str = text_field()
+    advertise_port: int = port_field()
 
     @property
     def peer_address(self) -> Address:
@@ -122,59 +72,59 @@
 class PlatformSettings:
     """How the platform's key-value service is reached."""
 
-    endpoints: tuple[Address, ...] = _addresses()
-    timeout_ms: int = _count()
-    watchers_per_data_centre: int = _count()
-    poll_floor_ms: int = _count()
-    prefix: str = _text()
+    endpoints: tuple[Address, ...] = addresses_field()
+    timeout_ms: int = count_field()
+    watchers_per_data_centre: int = count_field()
+    poll_floor_ms: int = count_field()
+    prefix: str = text_field()
 
 
 @frozen
 class HttpSettings:
     """Limits of the HTTP front ends."""
 
-    crew_threads: int = _count()
-    reserved_threads: int = _count(0)
-    idle_connection_s: int = _count()
-    max_header_bytes: int = _count(1024)
-    max_body_bytes: int = _count(1024)
+    crew_threads: int = count_field()
+    reserved_threads: int = count_field(0)
+    idle_connection_s: int = count_field()
+    max_header_bytes: int = count_field(1024)
+    max_body_bytes: int = count_field(1024)
 
 
 @frozen
 class CallSettings:
     """Timeouts and retry budgets of calls."""
 
-    default_timeout_ms: int = _count()
-    max_timeout_ms: int = _count()
-    max_depth: int = _count()
-    tries: int = _count(0)
-    retry_ratio: float = _number()
-    retry_burst: float = _number()
+    default_timeout_ms: int = count_field()
+    max_timeout_ms: int = count_field()
+    max_depth: int = count_field()
+    tries: int = count_field(0)
+    retry_ratio: float = number_field()
+    retry_burst: float = number_field()
 
 
 @frozen
 class QuotaSettings:
     """Slices of the organisations' rates and the terms they are lent for."""
 
-    slices: int = _count()
-    slice_lease_s: int = _count()
-    loan_term_ms: int = _count()
-    grant_term_ms: int = _count()
-    park_ms: int = _count(0)
+    slices: int = count_field()
+    slice_lease_s: int = count_field()
+    loan_term_ms: int = count_field()
+    grant_term_ms: int = count_field()
+    park_ms: int = count_field(0)
 
 
 @frozen
 class AdmissionSettings:
     """Concurrency limit and queue beside a backend server."""
 
-    initial_limit: int = _count()
-    min_limit: int = _count()
-    max_limit: int = _count()
-    window_ms: int = _count()
-    tolerance: float = _number(1.0)
-    queue_ms: int = _count(0)
-    queue_length: int = _count(0)
-    background_share: float = _share()
+    initial_limit: int = count_field()
+    min_limit: int = count_field()
+    max_limit: int = count_field()
+    window_ms: int = count_field()
+    tolerance: float = number_field(1.0)
+    queue_ms: int = count_field(0)
+    queue_length: int = count_field(0)
+    background_share: float = share_field()
 
 
 @frozen
@@ -182,65 +132,65 @@
     """Claims of at-most-once calls."""
 
     partitions: int = field(validator=[instance_of(int), ge(1), le(MAX_PARTITIONS)])
-    retention_s: int = _count()
-    confirm_s: int = _count()
-    lost_s: int = _count()
-    max_entries: int = _count()
-    max_answer_bytes: int = _count(0)
-    max_answers_bytes: int = _count(0)
+    retention_s: int = count_field()
+    confirm_s: int = count_field()
+    lost_s: int = count_field()
+    max_entries: int = count_field()
+    max_answer_bytes: int = count_field(0)
+    max_answers_bytes: int = count_field(0)
 
 
 @frozen
 class MemberSettings:
     """Membership gossip."""
 
-    gossip_ms: int = _count()
-    gossip_fanout: int = _count()
-    probe_timeout_ms: int = _count()
-    suspect_ms: int = _count()
-    forget_s: int = _count()
-    announce_ttl_ms: int = _count()
+    gossip_ms: int = count_field()
+    gossip_fanout: int = count_field()
+    probe_timeout_ms: int = count_field()
+    suspect_ms: int = count_field()
+    forget_s: int = count_field()
+    announce_ttl_ms: int = count_field()
 
 
 @frozen
 class PeerSettings:
     """Streams between nodes."""
 
-    heartbeat_ms: int = _count()
-    silent_ms: int = _count()
-    connect_timeout_ms: int = _count()
-    idle_s: int = _count()
-    chunk_bytes: int = _count(1024)
-    max_frame_bytes: int = _count(4096)
-    region_bytes_per_s: int = _count()
+    heartbeat_ms: int = count_field()
+    silent_ms: int = count_field()
+    connect_timeout_ms: int = count_field()
+    idle_s: int = count_field()
+    chunk_bytes: int = count_field(1024)
+    max_frame_bytes: int = count_field(4096)
+    region_bytes_per_s: int = count_field()
 
 
 @frozen
 class HealthSettings:
     """Judgement of backend servers by their answers."""
 
-    window: int = _count()
-    failure_ratio: float = _share()
-    eject_ms: int = _count()
-    stall_factor: float = _positive()
-    stall_floor_ms: int = _count()
+    window: int = count_field()
+    failure_ratio: float = share_field()
+    eject_ms: int = count_field()
+    stall_factor: float = positive_field()
+    stall_floor_ms: int = count_field()
 
 
 @frozen
 class PoisonSettings:
     """Recognition of requests that crash backend servers."""
 
-    crashes: int = _count()
-    memory_s: int = _count()
-    max_suspects: int = _count()
+    crashes: int = count_field()
+    memory_s: int = count_field()
+    max_suspects: int = count_field()
 
 
 @frozen
 class DrainSettings:
     """Graceful shutdown of a node."""
 
-    settle_ms: int = _count(0)
-    limit_s: int = _count()
+    settle_ms: int = count_field(0)
+    limit_s: int = count_field()
 
 
 @frozen
@@ -283,81 +233,4 @@
         SettingsError
             As for ``from_file``.
         """
-        return build_sections(cls, default_tables(), overlay, source)
-
-
-def default_tables() -> dict:
-    """Return the tables of the shipped defaults."""
-    path = files("monsoonmill") / "defaults.toml"
-    return loads(path.read_text(encoding="utf-8"))
-
-
-def read_toml(path: str) -> dict:
-    """Read a TOML file.
-
-    Raises
-    ------
-    SettingsError
-        The file can't be read or is no TOML.
-    """
-    try:
-        return loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as exc:
-        raise SettingsError(path, "file", exc.strerror or "unreadable") from exc
-    except (TOMLDecodeError, UnicodeDecodeError) as exc:
-        raise SettingsError(path, "file", f"no valid TOML: {exc}") from exc
-
-
-def build_sections(cls: type, defaults: dict, overlay: dict, source: str):
-    """Build a class whose fields are sections, each an ``attrs`` class.
-
-    Raises
-    ------
-    SettingsError
-        A section or key is unknown, or a value is of the wrong type or range.
-    """
-    known = {item.name: item.type for item in fields(cls)}
-    for section, table in overlay.items():
-        if section not in known:
-            raise SettingsError(source, section, "unknown section")
-        if not isinstance(table, dict):
-            raise SettingsError(source, section, "must be a table")
-    sections = {
-        name: _build_section(
-            section_cls, defaults.get(name, {}), overlay.get(name, {}), source, name
-        )
-        for name, section_cls in known.items()
-    }
-    return cls(**sections)
-
-
-def _build_section(cls, defaults, overlay, source, section):
-    known = {item.name: item for item in fields(cls)}
-    merged = {**defaults, **overlay}
-    for key in merged:
-        if key not in known:
-            raise SettingsError(source, f"{section}.{key}", "unknown key")
-    values = {}
-    for name, attribute in known.items():
-        if name not in merged:
-            raise SettingsError(source, f"{section}.{name}", "missing")
-        values[name] = _checked(cls, attribute, merged[name], source, section)
-    return cls(**values)
-
-
-def _checked(cls, attribute, value, source, section):
-    """Convert and validate one value so that the error can name its key."""
-    key = f"{section}.{attribute.name}"
-    try:
-        converted = attribute.converter(value) if attribute.converter else value
-        if isinstance(converted, bool) and attribute.type is not bool:
-            raise TypeError("must not be a boolean")
-        if attribute.validator is not None:
-            attribute.validator(None, attribute, converted)
-    except (TypeError, ValueError) as exc:
-        raise SettingsError(source, key, _problem(exc)) from exc
-    return value
-
-
-def _problem(exc):
-    return str(exc.args[0]) if exc.args else "invalid value"
+        return build_sections(cls, read_shipped(SHIPPED_DEFAULTS), overlay, source)
--- a/src/monsoonmill/standin/backend_program.py
+++ b/src/monsoonmill/standin/backend_program.py
@@ -5,9 +5,9 @@
 
 from absl import logging
 
+from monsoonmill.program import run_service
 from monsoonmill.standin.backend import BackendServer
 from monsoonmill.standin.backend_settings import BackendSettings
-from monsoonmill.standin.options import run_program
 
 
 def monsoon_backend(
@@ -82,7 +82,7 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run the program and return its exit status."""
-    return run_program(monsoon_backend, run, argv)
+    return run_service(monsoon_backend, run, argv)
 
 
 if __name__ == "__main__":
--- a/src/monsoonmill/standin/backend_settings.py
+++ b/src/monsoonmill/standin/backend_settings.py
@@ -4,16 +4,16 @@
 from attrs.validators import in_, instance_of
 
 from monsoonmill.model import Address
-from monsoonmill.settings import (
+from monsoonmill.settings_fields import (
     LOG_LEVELS,
-    _count,
-    _number,
-    _port,
-    _positive,
-    _text,
+    count_field,
+    number_field,
     parse_address,
+    port_field,
+    positive_field,
+    text_field,
 )
-from monsoonmill.standin.options import load_settings
+from monsoonmill.settings_files import load_settings
 from monsoonmill.standin.tables import tables
 
 SHIPPED_DEFAULTS = "backend.toml"
@@ -23,8 +23,8 @@
 class RouteWork:
     """Work that a request below a path takes."""
 
-    path: str = _text()
-    mean_ms: float = _number()
+    path: str = text_field()
+    mean_ms: float = number_field()
     jitter_ms: float = field(default=0.0, converter=float)
     answer_bytes: int = field(default=0, validator=instance_of(int))
 
@@ -41,8 +41,8 @@
         Whether the ``count`` calls are sent at once.
     """
 
-    path: str = _text()
-    service: str = _text()
+    path: str = text_field()
+    service: str = text_field()
     target: str = field(default="/", validator=instance_of(str))
     method: str = field(default="GET", validator=instance_of(str))
     count: int = field(default=1, validator=instance_of(int))
@@ -57,27 +57,27 @@
 class ServerSettings:
     """Identity and addresses of the backend server."""
 
-    service: str = _text()
-    name: str = _text()
-    host: str = _text()
-    port: int = _port()
+    service: str = text_field()
+    name: str = text_field()
+    host: str = text_field()
+    port: int = port_field()
     node: Address | None = _optional_address()
-    announce_ms: int = _count()
-    announce_timeout_ms: int = _count()
+    announce_ms: int = count_field()
+    announce_timeout_ms: int = count_field()
     log_level: str = field(validator=in_(LOG_LEVELS))
-    random_seed: int = _count(0)
+    random_seed: int = count_field(0)
 
 
 @frozen
 class WorkSettings:
     """Capacity and service times."""
 
-    slots: int = _count()
-    queue_length: int = _count(0)
-    queue_ms: int = _count(0)
-    cold_start_ms: int = _count(0)
-    cold_factor: float = _positive()
-    error_rate: float = _number()
+    slots: int = count_field()
+    queue_length: int = count_field(0)
+    queue_ms: int = count_field(0)
+    cold_start_ms: int = count_field(0)
+    cold_factor: float = positive_field()
+    error_rate: float = number_field()
     routes: tuple[RouteWork, ...] = tables(RouteWork)
 
 
@@ -85,8 +85,8 @@
 class NestedSettings:
     """Nested calls to other services."""
 
-    callers: int = _count()
-    timeout_ms: int = _count()
+    callers: int = count_field()
+    timeout_ms: int = count_field()
     calls: tuple[NestedCall, ...] = tables(NestedCall)
 
 
@@ -94,17 +94,17 @@
 class FaultSettings:
     """Ways in which the backend server misleads or fails."""
 
-    poison_marker: str = _text()
-    health_lag_ms: int = _count(0)
-    record_file: str = _text()
+    poison_marker: str = text_field()
+    health_lag_ms: int = count_field(0)
+    record_file: str = text_field()
 
 
 @frozen
 class DrainSettings:
     """Graceful shutdown of the backend server."""
 
-    settle_ms: int = _count(0)
-    limit_s: int = _count()
+    settle_ms: int = count_field(0)
+    limit_s: int = count_field()
 
 
 @frozen
--- a/src/monsoonmill/standin/faults_program.py
+++ b/src/monsoonmill/standin/faults_program.py
@@ -6,9 +6,9 @@
 
 from absl import logging
 
+from monsoonmill.program import run_service
 from monsoonmill.standin.faults import FaultsProxy
 from monsoonmill.standin.faults_settings import FaultsSettings
-from monsoonmill.standin.options import run_program
 
 
 def monsoon_faults(
@@ -70,7 +70,7 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Run the program and return its exit status."""
-    return run_program(monsoon_faults, run, argv)
+    return run_service(monsoon_faults, run, argv)
 
 
 if __name__ == "__main__":
--- a/src/monsoonmill/standin/faults_settings.py
+++ b/src/monsoonmill/standin/faults_settings.py
@@ -4,8 +4,14 @@
 from attrs.validators import in_
 
 from monsoonmill.model import Address
-from monsoonmill.settings import LOG_LEVELS, _count, _port, _text, parse_address
-from monsoonmill.standin.options import load_settings
+from monsoonmill.settings_fields import (
+    LOG_LEVELS,
+    count_field,
+    parse_address,
+    port_field,
+    text_field,
+)
+from monsoonmill.settings_files import load_settings
 from monsoonmill.standin.tables import tables
 
 SHIPPED_DEFAULTS = "faults.toml"
@@ -15,7 +21,7 @@
 class PairSettings:
     """A port to listen on and the address that its connections go to."""
 
-    name: str = _text()
+    name: str = text_field()
     target: Address = field(converter=lambda value: _address(value))
     listen_port: int = field(default=0)
 
@@ -28,9 +34,9 @@
 class ProxySettings:
     """Addresses and limits of the proxy."""
 
-    host: str = _text()
-    control_port: int = _port()
-    buffer_bytes: int = _count(1024)
+    host: str = text_field()
+    control_port: int = port_field()
+    buffer_bytes: int = count_field(1024)
     log_level: str = field(validator=in_(LOG_LEVELS))
     pairs: tuple[PairSettings, ...] = tables(PairSettings)
 
--- a/src/monsoonmill/standin/faults_task.py
+++ b/src/monsoonmill/standin/faults_task.py
@@ -17,7 +17,7 @@
 )
 from monsoonmill.standin.faults_modes import Direction, Fault, PassThrough
 from monsoonmill.standin.faults_settings import FaultsSettings, PairSettings
-from monsoonmill.standin.options import ListenError
+from monsoonmill.standin.listening import ListenError
 from monsoonmill.standin.timers import Timers
 from monsoonmill.task import Stop, Task
 
--- a/src/monsoonmill/standin/http_front.py
+++ b/src/monsoonmill/standin/http_front.py
@@ -7,7 +7,7 @@
 from cheroot.server import Gateway, HTTPServer
 
 from monsoonmill.eventlog import get_logger
-from monsoonmill.standin.options import ListenError
+from monsoonmill.standin.listening import ListenError
 from monsoonmill.standin.reply_box import ReplyBox
 from monsoonmill.task import Task
 
