Hear a backend server that sheds, and keep pledges going in a surge

Causes, each mended: - the worker dropped the backend server's Monsoon-Outcome before the decisions saw it, so that a shed request was told done with status 503; - a shed attempt gave its slot back at once, and the next one was sent into the same full house. A slot is now held back for the route's usual latency; - the retry balance was spent by lookups. Half of it is kept for critical calls. Ruled out: the front door (no queue-full) and the deadline. The tests' processes come from monsoonmill/load/launcher.py now, where they stood twice.

--- a/src/monsoonmill/decisions/admission_queued.py
+++ b/src/monsoonmill/decisions/admission_queued.py
@@ -29,6 +29,9 @@
 """When another try of a refused call may succeed."""
 
 
+LONGEST_HOLD_S = 0.5
+"""A slot whose attempt was shed by the backend server is held back this long."""
+
 FOREGROUND = tuple(one for one in Importance if one > Importance.BACKGROUND)
 """Classes that may use the whole limit."""
 
@@ -49,6 +52,13 @@
     running: int
 
 
+@frozen
+class HeldSlot:
+    """A slot that is held back, since the backend server shed its attempt."""
+
+    attempt: str
+
+
 class QueuedAdmission(Admission):
     """Gives slots up to a limit; what finds none waits in order of worth.
 
@@ -62,6 +72,7 @@
         self._queue = FairQueue(cfg.queue_length)
         self._level = AdmissionLevel()
         self._running: dict[str, RunningCall] = {}
+        self._held: set[HeldSlot] = set()
         self._background = 0
         self._queue_empty_at = float("-inf")
         self._timers = Timers()
@@ -102,7 +113,7 @@
         if self._may_run(call.importance):
             yield self._start(call, now)
             return
-        if len(self._running) >= self._limit.limit:
+        if len(self._running) + len(self._held) >= self._limit.limit:
             self._limit.note_full()
         self._note_queue(now)
         refused = self._queue.offer(call)
@@ -131,8 +142,21 @@
                 _run_end(signal),
             )
             self._limit.note_run(sample, now)
+        if run is not None and signal.shed:
+            self._hold(signal.attempt, run.route, now)
         yield from self._admit_waiting(now)
 
+    def _hold(self, attempt, route, now):
+        """Hold a slot back for as long as an attempt would have run.
+
+        A backend server sheds at once; to send the next waiting attempt into
+        the same full house would have it shed too.
+        """
+        slot = HeldSlot(attempt)
+        self._held.add(slot)
+        hold_s = min(self._limit.usual_s(route, now), LONGEST_HOLD_S)
+        self._timers.set(slot, now + hold_s)
+
     def next_due(self):
         """Return when the next attempt has waited for too long."""
         return self._timers.next_due()
@@ -140,6 +164,9 @@
     def tick(self, now):
         """Refuse the attempts that can no longer be run in time."""
         for attempt in self._timers.pop_due(now):
+            if isinstance(attempt, HeldSlot):
+                self._held.discard(attempt)
+                continue
             call = self._queue.remove(attempt)
             if call is not None:
                 is_hopeless = self._is_hopeless(call, now)
@@ -178,7 +205,7 @@
 
     def _may_run(self, importance):
         limit = self._limit.limit
-        if len(self._running) >= limit:
+        if len(self._running) + len(self._held) >= limit:
             return False
         if importance is not Importance.BACKGROUND:
             return True
--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -581,7 +581,9 @@
             self._poison.may_retry_lost(call.lost, call.was_suspect)
         ):
             return RetryReason.SUSPECT
-        return self.retries.check(call.route.service, call.tries)
+        return self.retries.check(
+            call.route.service, call.tries, call.context.importance
+        )
 
     # Driving the charts.
     def _send(self, name, event, now, arg=None):
--- a/src/monsoonmill/decisions/retries.py
+++ b/src/monsoonmill/decisions/retries.py
@@ -8,9 +8,12 @@
 
 from attrs import define
 
-from monsoonmill.reasons import RetryReason
+from monsoonmill.reasons import Importance, RetryReason
 from monsoonmill.settings import CallSettings
 
+CRITICAL_SHARE = 0.5
+"""Part of the largest balance that only critical calls may use."""
+
 
 @define
 class RetryBalance:
@@ -32,11 +35,18 @@
         earned = balance.tokens + self._cfg.retry_ratio
         balance.tokens = min(earned, self._cfg.retry_burst)
 
-    def check(self, service: str, tries: int) -> RetryReason | None:
-        """Return why there is no further try, or None if there is one."""
+    def check(
+        self, service: str, tries: int, importance: Importance = Importance.NORMAL
+    ) -> RetryReason | None:
+        """Return why there is no further try, or None if there is one.
+
+        Half of the balance is kept for critical calls.
+        """
         if tries <= 0:
             return RetryReason.BUDGET_SPENT
-        if self._balance(service).tokens < 1:
+        is_critical = importance is Importance.CRITICAL
+        kept = 0 if is_critical else self._cfg.retry_burst * CRITICAL_SHARE
+        if self._balance(service).tokens < 1 + kept:
             return RetryReason.RATIO_SPENT
         return None
 
--- a/src/monsoonmill/node/egress.py
+++ b/src/monsoonmill/node/egress.py
@@ -13,7 +13,7 @@
 from monsoonmill.decisions.signals import RunCall, RunFailure, RunFinished
 from monsoonmill.errors import MonsoonError
 from monsoonmill.model import Address, HttpResponse
-from monsoonmill.node.headers import forwarded_headers, returned_headers
+from monsoonmill.node.headers import forwarded_headers, kept_headers
 from monsoonmill.node.wake import Wake
 from monsoonmill.settings import HttpSettings
 from monsoonmill.task import Inbox, MessageTask
@@ -157,7 +157,7 @@
             raise RunError(RunFailure.BROKEN_ANSWER) from exc
         body = self._read_body(response)
         self._used_at = self._clock.now()
-        headers = tuple(returned_headers(response.headers.items()))
+        headers = tuple(kept_headers(response.headers.items()))
         if response.headers.get("connection", "").lower() == "close":
             self._disconnect()
         return HttpResponse(response.status, headers, body)
--- a/src/monsoonmill/node/headers.py
+++ b/src/monsoonmill/node/headers.py
@@ -30,7 +30,9 @@
     "expect",
 }
 """Request headers that do not reach a backend server as they came."""
-NOT_RETURNED = HOP_BY_HOP | {"content-length", "monsoon-outcome", "monsoon-reason"}
+NOT_KEPT = HOP_BY_HOP | {"content-length"}
+"""Response headers that speak of one connection only."""
+NOT_RETURNED = NOT_KEPT | {"monsoon-outcome", "monsoon-reason"}
 """Response headers that do not reach a caller as they came."""
 
 
@@ -41,6 +43,16 @@
             yield name, value
 
 
+def kept_headers(headers):
+    """Yield the headers of a backend server's response that a node needs.
+
+    The decisions read in them whether the backend server ran the request.
+    """
+    for name, value in headers:
+        if name.lower() not in NOT_KEPT:
+            yield name, value
+
+
 def returned_headers(headers):
     """Yield the response headers that go back to a caller."""
     for name, value in headers:
--- a/src/monsoonmill/node/ingress.py
+++ b/src/monsoonmill/node/ingress.py
@@ -20,6 +20,7 @@
     REASON,
     RETRY_AFTER,
     TIMEOUT,
+    returned_headers,
 )
 from monsoonmill.node.web import App, Problem, WebRequest, WebResponse
 from monsoonmill.reasons import HTTP_STATUS, Outcome, Reason
@@ -88,7 +89,8 @@
     outcome = (OUTCOME, answer.outcome.value)
     if answer.response is not None:
         response = answer.response
-        return WebResponse(response.status, (*response.headers, outcome), response.body)
+        headers = tuple(returned_headers(response.headers))
+        return WebResponse(response.status, (*headers, outcome), response.body)
     headers = [outcome, (REASON, answer.reason.value)]
     if answer.retry_after_s > 0:
         headers.append((RETRY_AFTER, str(ceil(answer.retry_after_s))))
--- a/tests/integration/load.py
+++ b/tests/integration/load.py
@@ -70,13 +70,13 @@
 class CallerTask(Task):
     """Sends calls to one node; turns to the next when it drains or is silent."""
 
-    def __init__(self, number, fleet, plan, seed, report):
+    def __init__(self, number, fleet, plan, seed, report, prefix="c"):
         super().__init__(f"caller-{number}")
         self._rng = Random(f"{seed}/{number}")
         self._fleet = fleet
         self._plan = plan
         self._report = report
-        self._names = (f"c{number}-{one}" for one in count())
+        self._names = (f"{prefix}{number}-{one}" for one in count())
         self._pools = {}
         self._home = number
 
@@ -151,11 +151,11 @@
 class Load:
     """Some callers at work; ``sent`` holds what has ended so far."""
 
-    def __init__(self, fleet, plan, seed):
+    def __init__(self, fleet, plan, seed, prefix="c"):
         self.sent = []
         self._inbox = Inbox()
         self._callers = [
-            CallerTask(number, fleet, plan, seed, self._inbox.post).start()
+            CallerTask(number, fleet, plan, seed, self._inbox.post, prefix).start()
             for number in range(plan.callers)
         ]
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,133 +1,17 @@
-"""Real processes on the loopback interface, for integration tests."""
+"""Fleets of real processes on the loopback interface, for integration tests."""
 
-import os
-import signal
-import subprocess
-import sys
 from contextlib import ExitStack
-from itertools import count
 from json import dumps, loads
 from pathlib import Path
-from select import select
-from socket import create_server
-from threading import Event
 
 from attrs import define, field
 from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
 from monsoonmill.admin_client import AdminClient, AdminError
+from monsoonmill.load.launcher import HOST, Process, free_port, wait_for
 from monsoonmill.model import Address
 
-HOST = "127.0.0.1"
-READY_TIMEOUT_S = 20.0
-POLL_S = 0.05
-FIRST_PORT = 20_000
-PORTS = 12_000
-"""Ports below the range that the kernel takes for outgoing connections."""
-PROGRAMS = {
-    "platform": "monsoonmill.platform.program",
-    "node": "monsoonmill.node.program",
-    "backend": "monsoonmill.standin.backend_program",
-    "faults": "monsoonmill.standin.faults_program",
-}
-
-_ports = count(os.getpid() * 61)
-
-
-class NotReadyError(AssertionError):
-    """A process or condition did not come about in time."""
-
-
-def free_port():
-    """Return a port that nobody listens on."""
-    for offset in _ports:
-        port = FIRST_PORT + offset % PORTS
-        try:
-            create_server((HOST, port)).close()
-        except OSError:
-            continue
-        return port
-
-
-def wait_for(condition, timeout_s=10.0, what="condition"):
-    """Wait until a condition holds; return its value."""
-    pause = Event()
-    for _ in range(int(timeout_s / POLL_S)):
-        value = condition()
-        if value:
-            return value
-        pause.wait(POLL_S)
-    raise NotReadyError(f"{what}: not within {timeout_s} s")
-
-
-def render_toml(value):
-    """Return a value in TOML's notation."""
-    if isinstance(value, dict):
-        pairs = (f"{dumps(key)} = {render_toml(one)}" for key, one in value.items())
-        return "{" + ", ".join(pairs) + "}"
-    if isinstance(value, list | tuple):
-        return "[" + ", ".join(map(render_toml, value)) + "]"
-    return dumps(value)
-
-
-@define(eq=False)
-class Process:
-    """One process that this test has started."""
-
-    name: str
-    popen: subprocess.Popen
-    port: int = 0
-
-    @classmethod
-    def start(cls, directory, kind, name, tables):
-        """Start a program with settings; it may not be ready yet."""
-        path = Path(directory) / f"{name}.toml"
-        path.write_text(
-            "\n".join(
-                f"{section} = {render_toml(one)}" for section, one in tables.items()
-            )
-        )
-        command = [sys.executable, "-m", PROGRAMS[kind], "--config", str(path)]
-        errors = (Path(directory) / f"{name}.log").open("a")
-        with errors:
-            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors)
-        return cls(name, popen)
-
-    def await_ready(self):
-        """Wait for the line with the port and return the process."""
-        ready, _, _ = select([self.popen.stdout], [], [], READY_TIMEOUT_S)
-        words = self.popen.stdout.readline().split() if ready else ()
-        if len(words) != 2 or words[0] != b"ready":
-            raise NotReadyError(f"{self.name}: {words}")
-        self.port = int(words[1])
-        return self
-
-    @property
-    def is_up(self):
-        return self.popen.poll() is None
-
-    def kill(self):
-        """End the process without notice."""
-        self.popen.kill()
-        self.popen.wait()
-
-    def freeze(self):
-        self.popen.send_signal(signal.SIGSTOP)
-
-    def thaw(self):
-        self.popen.send_signal(signal.SIGCONT)
-
-    def drain(self):
-        """Ask the process to end."""
-        self.popen.send_signal(signal.SIGTERM)
-
-    def close(self):
-        """Make sure that the process has ended."""
-        if self.is_up:
-            self.kill()
-        self.popen.stdout.close()
-
 
 @define(eq=False)
 class NodeHost:
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -5,14 +5,17 @@
 from threading import Thread
 
 from monsoonmill.clock import SystemClock
-from monsoonmill.decisions.signals import RunCall, RunFailure
+from monsoonmill.decisions.signals import Answer, RunCall, RunFailure
 from monsoonmill.model import Address, HttpRequest
 from monsoonmill.node.egress import RunPool
+from monsoonmill.node.ingress import render_answer
+from monsoonmill.reasons import Outcome
 from monsoonmill.settings import Settings
 from monsoonmill.task import Inbox
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 CLOSING = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+SHED = b"HTTP/1.1 503 Busy\r\nMonsoon-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
 CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
 
 
@@ -51,6 +54,15 @@
     assert [one.response.body for one in ends] == [b"ok"] * 3
 
 
+def test_backend_server_that_refuses_to_run_is_heard():
+    with server_saying([SHED]) as address:
+        (end,) = run_all(address, 1)
+    assert ("Monsoon-Outcome", "not-run") in end.response.headers
+    answer = Answer("1", Outcome.DONE, end.response)
+    names = [name.lower() for name, _ in render_answer(answer).headers]
+    assert names.count("monsoon-outcome") == 1
+
+
 def test_cut_answer_is_no_answer():
     with server_saying([CUT]) as address:
         (end,) = run_all(address, 1)
