--- a/tests/test_mutants_admission.py
+++ b/tests/test_mutants_admission.py
@@ -4,7 +4,7 @@
 from hypothesis import Phase
 
 from monsoonmill.decisions.admission_queued import QueuedAdmission
-from monsoonmill.decisions.calls import Call
+from monsoonmill.decisions.call import Call
 from monsoonmill.decisions.contexts import ContextTable
 from monsoonmill.decisions.fair_queue import ClassQueue, FairQueue
 from monsoonmill.reasons import Importance
