--- a/src/monsoonmill/decisions/poison_guard.py
+++ b/src/monsoonmill/decisions/poison_guard.py
@@ -23,7 +23,11 @@
 from monsoonmill.messages import PoisonNotice, SuspectClearance, SuspectReport
 from monsoonmill.settings import PoisonSettings
 
-COLLECT_S = 0.02
+EARLY_S = 0.02
+"""A crash is first reported after this time, when its losses may be incomplete."""
+LEAST_EARLY_LOSSES = 2
+"""An early report never says that a request was alone."""
+COLLECT_S = 0.05
 """Connections that break within this time are reported together."""
 TELL_ALL_NODES = 32
 """Up to so many nodes are told directly; in larger fleets others pass it on."""
@@ -42,6 +46,7 @@
         self._table = SuspectTable(cfg, counters)
         self._lost: dict[str, set[int]] = {}
         self._report_due: float | None = None
+        self._is_early = False
 
     def handlers(self):
         """Return the handlers of this decision."""
@@ -76,17 +81,26 @@
         """Report what was lost; forget what was long unseen."""
         self._table.expire(now)
         if self._report_due is not None and self._report_due <= now:
-            self._report_due = None
+            least = LEAST_EARLY_LOSSES if self._is_early else 1
             for crash, fingerprints in self._lost.items():
-                yield from self._report(crash, fingerprints, now)
-            # Connections of the last crash may still break.
-            self._lost = dict(list(self._lost.items())[-1:])
-
-    def _report(self, crash, fingerprints, now):
+                yield from self._report(crash, fingerprints, least, now)
+            self._await_more(now)
+
+    def _await_more(self, now):
+        if self._is_early:
+            self._is_early = False
+            self._report_due = now + COLLECT_S - EARLY_S
+            return
+        self._report_due = None
+        # Connections of the last crash may still break.
+        self._lost = dict(list(self._lost.items())[-1:])
+
+    def _report(self, crash, fingerprints, least, now):
+        lost = max(len(fingerprints), least)
         for fingerprint in fingerprints:
-            self._table.note_crash(fingerprint, crash, len(fingerprints), now)
+            self._table.note_crash(fingerprint, crash, lost, now)
         names = tuple(islice(fingerprints, MAX_NAMED))
-        report = SuspectReport(self._members.own.node, crash, names)
+        report = SuspectReport(self._members.own.node, crash, names, lost)
         yield from self._spread(report, crash)
 
     def on_backend_crashed(self, signal: BackendCrashed, now: float):
@@ -95,7 +109,8 @@
         crash = f"{own.node}/{own.incarnation}/{signal.crash}"
         self._lost.setdefault(crash, set()).update(signal.fingerprints)
         if self._report_due is None:
-            self._report_due = now + COLLECT_S
+            self._report_due = now + EARLY_S
+            self._is_early = True
         return ()
 
     def on_suspect_report(self, signal: Received, now: float):
@@ -105,8 +120,7 @@
         for fingerprint in report.fingerprints:
             known = self._table.find(fingerprint)
             is_news = is_news or known is None or report.crash not in known.crashes
-            lost = len(report.fingerprints)
-            self._table.note_crash(fingerprint, report.crash, lost, now)
+            self._table.note_crash(fingerprint, report.crash, report.lost, now)
         if is_news and self._passes_on():
             yield from self._spread(report, report.crash)
 
--- a/src/monsoonmill/decisions/suspects.py
+++ b/src/monsoonmill/decisions/suspects.py
@@ -74,9 +74,9 @@
         return self._suspects.get(fingerprint)
 
     def note_crash(self, fingerprint: int, crash: str, lost: int, now: float) -> None:
-        """Note that a request was lost in a crash, with how many."""
+        """Note that a request was lost in a crash; the latest number counts."""
         suspect = self._touch(fingerprint, now)
-        suspect.crashes[crash] = max(lost, suspect.crashes.get(crash, 0))
+        suspect.crashes[crash] = lost
         suspect.chart.send("crashed")
 
     def name_poison(self, fingerprint: int, now: float) -> None:
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -362,11 +362,14 @@
     ----------
     crash : str
         Names the crash; unique over all nodes and times.
+    lost : int
+        Requests that the crash lost, as far as the sender knows by now.
     """
 
     node: str
     crash: str
     fingerprints: tuple[int, ...]
+    lost: int = 1
 
 
 @frozen
