Let bursts be spent anew in each window; let lowered rates come down over time

Now what the bucket was never above in the last window comes back as a part of the rate: (burst - highest level) / window. What a window brings is at most its rate and one burst, in any window. A lowered rate and burst come down over 0.8 of the time in which a configuration must be in force.

The bounds of tests/test_quota_replicated.py hold with and without windows.

--- a/src/monsoonmill/decisions/quota_bucket.py
+++ b/src/monsoonmill/decisions/quota_bucket.py
@@ -13,6 +13,32 @@
     give_up_at: float
 
 
+@frozen
+class Ramp:
+    """A limit that comes down to ``target`` until ``ends_at``; a raised one is at once.
+
+    A limit that is lowered at one moment would refuse all of an organisation's calls
+    until its bucket is out of debt.
+    """
+
+    source: float
+    target: float
+    began_at: float
+    ends_at: float
+
+    @classmethod
+    def between(cls, source: float, target: float, now: float, time_s: float) -> "Ramp":
+        """Begin a way from one limit to another."""
+        return cls(max(source, target), target, now, now + time_s)
+
+    def at(self, now: float) -> float:
+        """Return the limit at a time."""
+        if now >= self.ends_at:
+            return self.target
+        left = (self.ends_at - now) / (self.ends_at - self.began_at)
+        return self.target + min(left, 1.0) * (self.source - self.target)
+
+
 @define
 class Bucket:
     """One organisation's tokens as this node knows them.
@@ -48,6 +74,13 @@
         report after next, so that none are saved up.
     returned_lately : int
         Of them, those that came back since the last report.
+    window_s : float
+        The burst may be spent anew once in each window of this length; 0 if it
+        only comes back while the rate is not used up.
+    highest : deque of (float, float)
+        Times and levels of the last window, each higher than all that follow.
+    ramps : tuple of Ramp
+        Ways of rate and burst to what the configuration says, if it lowered them.
     """
 
     organisation: str
@@ -67,18 +100,60 @@
     parked: deque[ParkedCall] = field(factory=deque)
     returned: int = 0
     returned_lately: int = 0
+    window_s: float = 0.0
+    highest: deque[tuple[float, float]] = field(factory=deque)
+    ramps: tuple[Ramp, Ramp] | None = None
+
+    def __attrs_post_init__(self):
+        # Before this node knew of the bucket it may have been full.
+        self.highest.append((self.filled_at, self.burst))
+
+    @property
+    def pace(self) -> float:
+        """Tokens a second: the rate, and the part of the burst that comes back.
+
+        The bucket was never above the highest level of the last window, so what
+        comes back in a window and what the bucket held at its start are a burst
+        together, and no window brings more than its rate and one burst.
+        """
+        if self.window_s <= 0:
+            return self.rate
+        return self.rate + max(self.burst - self.highest[0][1], 0.0) / self.window_s
+
+    def limit_to(self, rate: float, burst: float, now: float, ramp_s: float) -> None:
+        """Follow another configuration; what is lower comes down over ``ramp_s``."""
+        self.ramps = (
+            Ramp.between(self.rate, rate, now, ramp_s),
+            Ramp.between(self.burst, burst, now, ramp_s),
+        )
+        self._follow_ramps(now)
+
+    def _follow_ramps(self, now):
+        if self.ramps is not None:
+            self.rate, self.burst = (one.at(now) for one in self.ramps)
+            if all(now >= one.ends_at for one in self.ramps):
+                self.ramps = None
 
     def fill(self, now: float, share: float) -> None:
-        """Add what the rate has given since the last time.
+        """Add the tokens that have come since the last time.
 
         Parameters
         ----------
         share : float
             Part of the fleet whose spending is known.
         """
-        earned = self.rate * share * max(now - self.filled_at, 0.0)
+        earned = self.pace * share * max(now - self.filled_at, 0.0)
+        self._follow_ramps(now)
         self.level = min(self.level + earned, max(self.burst * share, 1.0))
         self.filled_at = now
+        self._note_level(now)
+
+    def _note_level(self, now):
+        while self.highest and self.highest[-1][1] <= self.level:
+            self.highest.pop()
+        self.highest.append((now, self.level))
+        while self.highest[0][0] < now - self.window_s:
+            self.highest.popleft()
 
     @property
     def has_token(self) -> bool:
--- a/src/monsoonmill/decisions/quota_replicated.py
+++ b/src/monsoonmill/decisions/quota_replicated.py
@@ -231,7 +231,7 @@
         """Return whether far more tokens are wanted than there will be."""
         wanted = bucket.demand + bucket.others_demand
         is_scarce = bucket.level < SCARCE_LEVEL * bucket.burst
-        return is_scarce and wanted > FLOOD * bucket.rate * self._interval_s()
+        return is_scarce and wanted > FLOOD * bucket.pace * self._interval_s()
 
     def _most_parked(self, bucket):
         """Return how many calls the tokens of the next intervals suffice for."""
@@ -245,7 +245,7 @@
         if self._is_flooded(bucket):
             return FLOOD_RETRY_INTERVALS * self._interval_s()
         missing = max(1 - bucket.level, 0.0) + bucket.demand + bucket.others_demand
-        wait_s = missing / max(bucket.rate, 1.0)
+        wait_s = missing / max(bucket.pace, 1.0)
         return min(max(wait_s, LEAST_RETRY_S), MOST_RETRY_S)
 
     def _bucket(self, organisation: Organisation, now):
@@ -257,6 +257,7 @@
                 organisation.burst,
                 organisation.burst * FIRST_LEVEL_SHARE,
                 now,
+                window_s=self._cfg.window_ms / 1000,
             )
             self._buckets[organisation.name] = bucket
             self._allow(bucket, now, self._known_share(now))
@@ -274,8 +275,8 @@
         share = self._known_share(now)
         for name, bucket in self._buckets.items():
             bucket.fill(now, share)
-            bucket.rate = organisations[name].rate
-            bucket.burst = organisations[name].burst
+            limits = organisations[name]
+            bucket.limit_to(limits.rate, limits.burst, now, self._cfg.ramp_ms / 1000)
             self._allow(bucket, now, share)
 
     # Reports.
@@ -313,7 +314,7 @@
     def _allow(self, bucket, now, share):
         """Set what this node may spend in the next interval."""
         bucket.fill(now, share)
-        left = bucket.level + bucket.rate * share * self._interval_s()
+        left = bucket.level + bucket.pace * share * self._interval_s()
         if now - self._started_at < YOUNG_S or not self._reporters:
             # Others that started at the same time count on the same tokens, and
             # not all of them are known yet.
@@ -330,7 +331,7 @@
         kept = min(max(bucket.allowance, 0.0), 1.0) if allowed < 1 else 0.0
         bucket.allowance = max(kept + allowed, 0.0)
         bucket.allowed = max(bucket.allowance, 1.0)
-        earned = bucket.rate * share * self._interval_s()
+        earned = bucket.pace * share * self._interval_s()
         spare = max(bucket.level, 0.0) * SURE_SHARE
         bucket.expected = max((earned + spare) * max(part, LEAST_SHARE * equal), 0.0)
 
--- a/src/monsoonmill/platform/settings.py
+++ b/src/monsoonmill/platform/settings.py
@@ -19,6 +19,9 @@
 """Part of it for goodbyes; other hosts answer within a tenth of a second."""
 SETTLE_SHARE = 0.4
 """Part of a stop in which news of it may spread while calls still come."""
+RAMP_SHARE = 0.8
+"""Part of the time in which a configuration must be in force over which lowered
+rates come down; the rest is for its way to all nodes."""
 OWN_RETRY_SHARE = 0.5
 """Part of the users' retry budget that nodes spend where a call begins; the rest is
 for the repeats that these cause further down."""
@@ -133,3 +136,10 @@
     if "retry_budget_ratio" in params:
         ratio = float(params["retry_budget_ratio"])
         overlay["call"] = {**overlay["call"], "retry_ratio": ratio * OWN_RETRY_SHARE}
+    # The span in which calls of an organisation are counted against rate and burst.
+    if "quota_window" in params:
+        window_ms = parse_ms(params["quota_window"])
+        overlay["quota"] = {**overlay["quota"], "window_ms": int(window_ms)}
+    if "config_apply" in params:
+        ramp_ms = RAMP_SHARE * parse_ms(params["config_apply"])
+        overlay["quota"] = {**overlay["quota"], "ramp_ms": int(ramp_ms)}
--- a/tests/test_quota_replicated.py
+++ b/tests/test_quota_replicated.py
@@ -14,6 +14,7 @@
 EXCESS, SLACK = 1.1, 20
 """What the users accept in any window, on top of rate and burst."""
 LATENCY_S = 0.03
+RAMP_MS = 2000
 TERMS = {"report_ms": 250, "contact_ms": 600}
 
 
@@ -58,9 +59,15 @@
         )
 
 
-def make_fleet(size=SIZE, rate=RATE, burst=BURST, seed=1):
+@pytest.fixture(params=[0, 5000], ids=["saved-burst", "burst-each-window"])
+def window_ms(request):
+    return request.param
+
+
+def make_fleet(size=SIZE, rate=RATE, burst=BURST, seed=1, window_ms=0):
+    terms = {**TERMS, "window_ms": window_ms, "ramp_ms": RAMP_MS}
     fleet = WindowFleet(
-        rate, burst, seed=seed, policy={"quota": "replicated"}, quota=TERMS
+        rate, burst, seed=seed, policy={"quota": "replicated"}, quota=terms
     )
     fleet.latency_s = LATENCY_S
     nodes = [fleet.add() for _ in range(size)]
@@ -78,8 +85,8 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 @pytest.mark.parametrize("times", [2, 8])
-def test_flood_at_all_nodes_stays_within_the_limit(seed, times):
-    fleet, nodes = make_fleet(seed=seed)
+def test_flood_at_all_nodes_stays_within_the_limit(seed, times, window_ms):
+    fleet, nodes = make_fleet(seed=seed, window_ms=window_ms)
     fleet.drive(3, 0.6 * RATE, anywhere(fleet, nodes))
     fleet.drive(12, times * RATE, anywhere(fleet, nodes))
     assert fleet.most_in_a_window() <= limit()
@@ -93,14 +100,14 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
-def test_first_calls_of_a_sudden_flood_count_at_all_nodes(seed):
-    fleet, nodes = make_fleet(seed=seed)
+def test_first_calls_of_a_sudden_flood_count_at_all_nodes(seed, window_ms):
+    fleet, nodes = make_fleet(seed=seed, window_ms=window_ms)
     fleet.drive(6, 4 * RATE, anywhere(fleet, nodes))
     assert fleet.most_in_a_window() <= RATE * WINDOW_S + BURST + SLACK
 
 
-def test_flood_is_served_steadily():
-    fleet, nodes = make_fleet()
+def test_flood_is_served_steadily(window_ms):
+    fleet, nodes = make_fleet(window_ms=window_ms)
     fleet.drive(14, 3 * RATE, anywhere(fleet, nodes))
     for second in range(8):
         end = fleet.now - second
@@ -114,6 +121,35 @@
     assert max(fleet.retry_after[-50:]) <= 2 * TERMS["report_ms"] / 1000
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_burst_may_be_spent_anew_in_each_window(seed):
+    fleet, nodes = make_fleet(seed=seed, window_ms=5000)
+    owed = RATE + BURST / WINDOW_S
+    fleet.drive(15, 0.9 * owed, anywhere(fleet, nodes))
+    total = len(fleet.given_at) + fleet.denied["branch"]
+    assert fleet.denied["branch"] <= 0.02 * total
+    assert fleet.most_in_a_window() <= limit()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_flood_gets_a_burst_in_each_window(seed):
+    fleet, nodes = make_fleet(seed=seed, window_ms=5000)
+    fleet.drive(20, 3 * RATE, anywhere(fleet, nodes))
+    late = [one for one in fleet.given_at if one > fleet.now - 10]
+    assert len(late) >= 0.95 * 2 * (WINDOW_S * RATE + BURST)
+    assert fleet.most_in_a_window() <= limit()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_floods_with_pauses_stay_within_the_limit(seed):
+    fleet, nodes = make_fleet(seed=seed, window_ms=5000)
+    for pause_s in (0.5, 1.0, 2.0, 4.0, 6.0):
+        fleet.drive(7, 4 * RATE, anywhere(fleet, nodes))
+        fleet.advance(pause_s)
+    fleet.drive(4, 4 * RATE, anywhere(fleet, nodes))
+    assert fleet.most_in_a_window() <= limit()
+
+
 @pytest.mark.parametrize(("share", "accepted"), [(0.6, 0.002), (0.9, 0.02)])
 def test_demand_below_the_rate_is_hardly_refused(share, accepted):
     fleet, nodes = make_fleet()
@@ -122,8 +158,8 @@
     assert fleet.denied["branch"] <= accepted * total
 
 
-def test_small_organisation_gets_its_rate():
-    fleet, nodes = make_fleet(rate=5.0, burst=5.0)
+def test_small_organisation_gets_its_rate(window_ms):
+    fleet, nodes = make_fleet(rate=5.0, burst=5.0, window_ms=window_ms)
     fleet.drive(20, 3.0, anywhere(fleet, nodes))
     total = len(fleet.given_at) + fleet.denied["branch"]
     assert fleet.denied["branch"] <= 0.05 * total
@@ -131,8 +167,10 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_clients_that_come_in_clumps_are_served_while_tokens_are_plentiful(seed):
-    fleet, nodes = make_fleet(rate=53.0, burst=53.0, seed=seed)
+def test_clients_that_come_in_clumps_are_served_while_tokens_are_plentiful(
+    seed, window_ms
+):
+    fleet, nodes = make_fleet(rate=53.0, burst=53.0, seed=seed, window_ms=window_ms)
     for _ in range(20):
         fleet.want(fleet.rng.choice(nodes), calls=6)
         fleet.drive(0.5, 20.0, anywhere(fleet, nodes))
@@ -161,8 +199,8 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2])
-def test_tokens_of_calls_that_never_ran_are_given_again(seed):
-    fleet, nodes = make_fleet(seed=seed)
+def test_tokens_of_calls_that_never_ran_are_given_again(seed, window_ms):
+    fleet, nodes = make_fleet(seed=seed, window_ms=window_ms)
     fleet.share_never_run = 0.3
     fleet.drive(12, 3 * RATE, anywhere(fleet, nodes))
     late = [one for one in fleet.given_at if one > fleet.now - 8]
@@ -170,8 +208,8 @@
     assert fleet.most_in_a_window() <= limit()
 
 
-def test_tokens_that_came_back_are_not_saved_up():
-    fleet, nodes = make_fleet()
+def test_tokens_that_came_back_are_not_saved_up(window_ms):
+    fleet, nodes = make_fleet(window_ms=window_ms)
     fleet.share_never_run = 1.0
     fleet.drive(6, 3 * RATE, anywhere(fleet, nodes))
     fleet.share_never_run = 0.0
@@ -179,8 +217,8 @@
     assert fleet.most_in_a_window() <= limit()
 
 
-def test_partition_adds_nothing():
-    fleet, nodes = make_fleet()
+def test_partition_adds_nothing(window_ms):
+    fleet, nodes = make_fleet(window_ms=window_ms)
     fleet.drive(3, 0.6 * RATE, anywhere(fleet, nodes))
     for node in nodes[:5]:
         fleet.cut_off(node)
@@ -189,8 +227,8 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
-def test_restart_of_all_nodes_adds_nothing(seed):
-    fleet, nodes = make_fleet(seed=seed)
+def test_restart_of_all_nodes_adds_nothing(seed, window_ms):
+    fleet, nodes = make_fleet(seed=seed, window_ms=window_ms)
     fleet.drive(6, 4 * RATE, anywhere(fleet, nodes))
     nodes = [fleet.restart(node) for node in nodes]
     fleet.install(fleet.config)
@@ -198,11 +236,32 @@
     assert fleet.most_in_a_window() <= limit()
 
 
-def test_lower_rate_binds_after_a_window():
-    fleet, nodes = make_fleet()
+def test_lower_rate_binds_after_a_window(window_ms):
+    fleet, nodes = make_fleet(window_ms=window_ms)
     fleet.drive(4, 2 * RATE, anywhere(fleet, nodes))
     fleet.change_rate(20.0, 20.0)
     fleet.drive(6, 2 * RATE, anywhere(fleet, nodes))
     fleet.given_at.clear()
     fleet.drive(8, 2 * RATE, anywhere(fleet, nodes))
     assert fleet.most_in_a_window() <= limit(20.0, 20.0)
+
+
+def test_lowered_rate_comes_down_over_its_time():
+    fleet, nodes = make_fleet(window_ms=5000)
+    fleet.drive(4, 0.9 * RATE, anywhere(fleet, nodes))
+    fleet.change_rate(20.0, 20.0)
+    fleet.given_at.clear()
+    fleet.drive(RAMP_MS / 1000, 0.9 * RATE, anywhere(fleet, nodes))
+    saved, came = 20.0, (RATE + 20.0) / 2 * RAMP_MS / 1000
+    assert len(fleet.given_at) >= 0.9 * (saved + came)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_lowered_rate_binds_once_it_has_come_down(seed, window_ms):
+    fleet, nodes = make_fleet(seed=seed, window_ms=window_ms)
+    fleet.drive(4, 0.5 * RATE, anywhere(fleet, nodes))
+    fleet.change_rate(20.0, 20.0)
+    fleet.advance(RAMP_MS / 1000 + 0.5)
+    fleet.given_at.clear()
+    fleet.drive(8, 2 * RATE, anywhere(fleet, nodes))
+    assert fleet.most_in_a_window() <= limit(20.0, 20.0)
