Send no more to a backend server that is full than it held when it said so

Now a refusal that says nothing ran tells how many attempts are there; until one of them ends, or for as long as a usual run takes, no more are sent. A refusal without that word holds one slot back, as before: it may come from a backend server that is merely faulty.

Ruled out: a reserve of slots; more tries for pledges.

--- a/src/monsoonmill/decisions/admission_queued.py
+++ b/src/monsoonmill/decisions/admission_queued.py
@@ -1,6 +1,6 @@
 """Admission with a concurrency limit and a bounded, fair queue."""
 
-from attrs import frozen
+from attrs import define, frozen
 
 from monsoonmill.decisions.admission import Admission
 from monsoonmill.decisions.admission_level import AdmissionLevel
@@ -60,6 +60,30 @@
     attempt: str
 
 
+@define
+class FullBackend:
+    """What a backend server held when it last said that it was full.
+
+    Attributes
+    ----------
+    held : int
+        Attempts that were there then; no more are sent until ``until``, since
+        they would be shed too, also those that were shed and wait again.
+    """
+
+    held: int = 0
+    until: float = float("-inf")
+
+    def note_shed(self, held: int, now: float, hold_s: float) -> None:
+        """Remember how many attempts were there when another was shed."""
+        self.held = min(held, self.held) if now < self.until else held
+        self.until = now + hold_s
+
+    def limit(self, limit: int, least: int, now: float) -> int:
+        """Return how many attempts may be there now."""
+        return min(limit, max(self.held, least)) if now < self.until else limit
+
+
 class QueuedAdmission(Admission):
     """Gives slots up to a limit; what finds none waits in order of worth.
 
@@ -74,6 +98,7 @@
         self._level = AdmissionLevel()
         self._running: dict[str, RunningCall] = {}
         self._held: set[HeldSlot] = set()
+        self._room = FullBackend()
         self._background = 0
         self._queue_empty_at = float("-inf")
         self._timers = Timers()
@@ -116,7 +141,7 @@
         if self._is_hopeless(call, now):
             yield NotAdmitted(call.attempt, Reason.DEADLINE, 0.0)
             return
-        if self._may_run(call.importance):
+        if self._may_run(call.importance, now):
             yield self._start(call, now)
             return
         if len(self._running) + len(self._held) >= self._limit.limit:
@@ -149,19 +174,21 @@
             )
             self._limit.note_run(sample, now)
         if run is not None and signal.shed:
-            self._hold(signal.attempt, run.route, now)
+            self._hold(signal, run.route, now)
         yield from self._admit_waiting(now)
 
-    def _hold(self, attempt, route, now):
+    def _hold(self, released, route, now):
         """Hold a slot back for as long as an attempt would have run.
 
         A backend server sheds at once; to send the next waiting attempt into
         the same full house would have it shed too.
         """
-        slot = HeldSlot(attempt)
+        slot = HeldSlot(released.attempt)
         self._held.add(slot)
         hold_s = min(self._limit.usual_s(route, now), LONGEST_HOLD_S)
         self._timers.set(slot, now + hold_s)
+        if released.not_run:
+            self._room.note_shed(len(self._running), now, hold_s)
 
     def next_due(self):
         """Return when the next attempt has waited for too long."""
@@ -192,7 +219,7 @@
     def _admit_waiting(self, now):
         self._note_queue(now)
         while self._queue:
-            lowest = self._lowest_runnable()
+            lowest = self._lowest_runnable(now)
             call = None if lowest is None else self._queue.pop(lowest)
             if call is None:
                 return
@@ -205,14 +232,16 @@
                 yield self._start(call, now)
         self._level.note_idle()
 
-    def _lowest_runnable(self):
+    def _lowest_runnable(self, now):
         """Return the lowest class that may have a slot now; None for none."""
-        return next((one for one in Importance if self._may_run(one)), None)
+        return next((one for one in Importance if self._may_run(one, now)), None)
 
-    def _may_run(self, importance):
+    def _may_run(self, importance, now):
         limit = self._limit.limit
         if len(self._running) + len(self._held) >= limit:
             return False
+        if len(self._running) >= self._room.limit(limit, self._cfg.min_limit, now):
+            return False
         if importance is not Importance.BACKGROUND:
             return True
         return self._background < max(limit * self._cfg.background_share, 1)
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -192,6 +192,7 @@
                 or (response is not None and response.status == SHED_STATUS),
                 timed_out=is_cut_off,
                 failed=response is None or response.status >= ERROR_STATUS,
+                not_run=finished.not_run,
             )
         )
 
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -335,6 +335,8 @@
         Whether it was cut off before its answer.
     failed : bool
         Whether it ended in an error, so that its latency tells nothing.
+    not_run : bool
+        Whether the backend server said that it was full and ran nothing.
     """
 
     attempt: str
@@ -342,6 +344,7 @@
     shed: bool
     timed_out: bool
     failed: bool = False
+    not_run: bool = False
 
 
 @frozen
--- a/tests/admission_oracle.py
+++ b/tests/admission_oracle.py
@@ -36,11 +36,18 @@
         self.running.pop(attempt, None)
         self._take(self.admission.on_leave_queue(LeaveQueue(attempt), self.now))
 
-    def release(self, attempt, latency_s=0.01, shed=False, timed_out=False):
+    def release(
+        self, attempt, latency_s=0.01, shed=False, timed_out=False, not_run=False
+    ):
         del self.running[attempt]
-        released = SlotReleased(attempt, latency_s, shed, timed_out)
+        released = SlotReleased(attempt, latency_s, shed, timed_out, not_run=not_run)
         self._take(self.admission.on_slot_released(released, self.now))
 
+    def admit_again(self, attempt, importance):
+        """Let an attempt that the backend server shed ask for a slot again."""
+        del self.answered[attempt]
+        self.admit(attempt, importance)
+
     def advance(self, seconds):
         end = self.now + seconds
         while (due := self.admission.next_due()) is not None and due <= end:
