Let a node end in time though a release note waits for the platform

Stacks of two hung nodes: the node had drained; cheroot's stop waits for its workers, and one of them waited up to 30 s for the platform's word on a note.

Now a drained node ends the waits of all questions; callers get no answer, which tells them nothing of the note, and they may hand it in again.

Ruled out: calls in progress (the drain had ended); the store's client (daemon).

tests/features/leaving.feature has the case: not ended after 12 s before, passes now.

--- a/src/monsoonmill/node/desk.py
+++ b/src/monsoonmill/node/desk.py
@@ -10,7 +10,7 @@
     StatusWanted,
 )
 from monsoonmill.errors import MonsoonError
-from monsoonmill.node.task import Ask, NodeTask
+from monsoonmill.node.task import Ask, Ended, NodeTask
 from monsoonmill.notes import ReleaseNote
 from monsoonmill.task import Inbox
 
@@ -19,7 +19,7 @@
 
 
 class NoAnswerError(MonsoonError):
-    """The node's task gave no answer in time."""
+    """The node's task gave no answer in time, or ends."""
 
 
 class NodeDesk:
@@ -55,7 +55,7 @@
             No answer came in time.
         """
         answer = self.start_call(arrival).take(timeout_s)
-        if answer is None:
+        if answer is None or isinstance(answer, Ended):
             raise NoAnswerError(f"call {arrival.call}")
         return answer
 
@@ -77,6 +77,6 @@
         reply = Inbox()
         self._task.post(Ask(name, signal, reply))
         answer = reply.take(timeout_s)
-        if answer is None:
+        if answer is None or isinstance(answer, Ended):
             raise NoAnswerError(name)
         return answer
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -65,6 +65,11 @@
     reply: Inbox
 
 
+@frozen
+class Ended:
+    """Answers a question that a node which ends will not answer any more."""
+
+
 class NodeTask(Task):
     """Waits for streams, messages and timers, and drives the decisions.
 
@@ -243,8 +248,11 @@
                 return False
             if isinstance(message, Ask):
                 self._replies[message.name] = message.reply
-                message = message.signal
-            elif isinstance(message, Idle):
+                self._handle_all((message.signal,), now)
+                if self._is_drained:
+                    self._end_replies()
+                continue
+            if isinstance(message, Idle):
                 self._run_pool.on_idle(message)
                 message = message.finished
             self._handle_all((message,), now)
@@ -311,3 +319,13 @@
     def _tell_drained(self, signal):
         log.info("drained")
         self._is_drained = True
+        self._end_replies()
+
+    def _end_replies(self):
+        """Let nobody wait for what may take long, such as the platform's word.
+
+        No call is in progress any more, and each later one is refused at once.
+        """
+        for reply in self._replies.values():
+            reply.post(Ended())
+        self._replies.clear()
--- a/tests/features/leaving.feature
+++ b/tests/features/leaving.feature
@@ -27,3 +27,9 @@
     And nothing was cut off
     And every pledge was recorded
     And no pledge ran twice and no refusal was wrong
+
+  Scenario: A node ends in time though a release note waits for the platform
+    Given a fleet of 2 hosts that have 3 seconds for a stop
+    When the platform does not answer and an operator hands a note in
+    And a node is told to end
+    Then its process ends with status 0 within 12 seconds
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -1,9 +1,16 @@
 """Graceful shutdown of nodes and backend servers under load."""
 
+from contextlib import suppress
 from time import time
 
 import pytest
-from pytest_bdd import parsers, scenarios, then, when
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from monsoonmill.admin_client import AdminError
+from monsoonmill.task import Task
+from tests.integration.conftest import start_fleet
+from tests.integration.release_notes import note_head, organisation_table
+from tests.integration.test_configuration import patient_admin
 
 pytestmark = pytest.mark.integration
 scenarios("../features/leaving.feature")
@@ -12,6 +19,19 @@
 EXIT_S = 15.0
 
 
+class HandIn(Task):
+    """An operator who hands one note in and waits."""
+
+    def __init__(self, admin, text):
+        super().__init__("hand-in")
+        self._admin = admin
+        self._text = text
+
+    def run(self):
+        with suppress(AdminError):
+            self._admin.accept_note(self._text)
+
+
 @when("a node is told to end", target_fixture="leaving")
 def drain_node(world):
     world.note_fault(world.fleet.hosts[1])
@@ -19,6 +39,21 @@
     return world.victim.node, time()
 
 
+@given(
+    parsers.parse("a fleet of {size:d} hosts that have {limit:d} seconds for a stop")
+)
+def fleet_with_limit(world, size, limit):
+    drain = {"settle_ms": 500, "limit_s": limit}
+    start_fleet(world, size, node_tables={"drain": drain})
+
+
+@when("the platform does not answer and an operator hands a note in")
+def hand_in_waiting_note(world):
+    world.fleet.set_platform("slow", delay_ms=60_000)
+    text = f"{note_head('waits', 1)}\n{organisation_table('branch', 5000, 'changed')}"
+    HandIn(patient_admin(world.fleet.hosts[1]), text).start()
+
+
 @when("a backend server is told to end", target_fixture="leaving")
 def drain_backend(world):
     world.note_fault(world.fleet.hosts[1])
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real processes, faults from outside, promises checked meanwhile."""
