Let nodes tell how many answers their backend server lost

Now the node beside a backend server tells with each reply which share of its runs lost their answer lately, and senders take it out from a fifth on, half of a service at most.

Ruled out: more repeats (36 of 226 would be within the budget); a lower ratio of each sender's own window, which takes out servers that lost two answers.

--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls.py
@@ -287,6 +287,7 @@
                 end.reason,
                 elapsed_s,
                 timed_out,
+                0.0 if load is None else load.unanswered,
             )
         )
         call.attempt = ""
--- a/src/monsoonmill/decisions/chain_strain.py
+++ b/src/monsoonmill/decisions/chain_strain.py
@@ -5,8 +5,7 @@
 the way is faulty.
 """
 
-from math import exp
-
+from monsoonmill.decisions.fading_share import FadingShare
 from monsoonmill.reasons import Outcome, Reason
 
 OVERLOAD_REASONS = frozenset((Reason.SHED, Reason.QUEUE_FULL, Reason.DEADLINE))
@@ -50,30 +49,16 @@
     """Nested calls lost to overload lately, for each run that may make some."""
 
     def __init__(self):
-        self._runs = 0.0
-        self._lost = 0.0
-        self._faded_at = 0.0
+        self._lost = FadingShare(MEMORY_S, LEAST_RUNS)
 
     def note_run(self, now: float) -> None:
         """Count a run at the own backend server."""
-        self._fade(now)
-        self._runs += 1
+        self._lost.note(now)
 
     def note_nested(self, lost: float, now: float) -> None:
         """Count the end of a nested call, by how likely it was lost."""
-        if lost:
-            self._fade(now)
-            self._lost += lost
+        self._lost.note_property(lost, now)
 
     def value(self, now: float) -> float:
         """Return the share of runs that lost a nested call, from 0 to 1."""
-        if not self._lost:
-            return 0.0
-        self._fade(now)
-        return min(self._lost / max(self._runs, LEAST_RUNS), 1.0)
-
-    def _fade(self, now):
-        left = exp(min(self._faded_at - now, 0.0) / MEMORY_S)
-        self._runs *= left
-        self._lost *= left
-        self._faded_at = now
+        return self._lost.value(now)
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/executions.py
@@ -14,6 +14,7 @@
 from monsoonmill.decisions.contexts import Contexts
 from monsoonmill.decisions.crashes import CrashCounter
 from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.fading_share import FadingShare
 from monsoonmill.decisions.pauses import PauseWatch
 from monsoonmill.decisions.poison import PoisonGuard
 from monsoonmill.decisions.running_chains import RunningChains
@@ -42,6 +43,12 @@
 from monsoonmill.reasons import Importance, Outcome, Reason
 
 SHED_STATUS = 503
+UNANSWERED_S = 2.0
+"""Lost answers count for about this long, less than a rest of ``health.eject_ms``,
+so that a backend server is judged anew after it."""
+LEAST_RUNS = 30.0
+"""Fewer runs count as so many: 6 lost answers are needed to call them a fifth."""
+LOST_ANSWERS = (RunFailure.CONNECTION_LOST, RunFailure.BROKEN_ANSWER)
 BEAT = "beat"
 BEAT_S = 0.5
 MAX_ENDED = 10_000
@@ -281,6 +288,7 @@
         self._executions: dict[str, Execution] = {}
         self._pauses = PauseWatch(counters)
         self._ended: OrderedDict[str, None] = OrderedDict()
+        self._unanswered = FadingShare(UNANSWERED_S, LEAST_RUNS)
         self._timers = Timers()
 
     def handlers(self):
@@ -304,6 +312,7 @@
             load.level,
             self.work.runs,
             round(self.strain.value(now), 3),
+            round(self._unanswered.value(now), 3),
         )
 
     @property
@@ -407,6 +416,8 @@
         """Reply with the end of a request."""
         execution = self._executions.get(signal.attempt)
         if execution is not None and execution.chart.is_in("running"):
+            self._unanswered.note(now)
+            self._unanswered.note_property(signal.failure in LOST_ANSWERS, now)
             yield from self._look_for_crash(execution, signal, now)
         yield from self._send(signal.attempt, "finished", now, signal)
 
--- a/src/monsoonmill/decisions/health_passive.py
+++ b/src/monsoonmill/decisions/health_passive.py
@@ -3,7 +3,8 @@
 What makes a node unfit and how long it stays out are separate settings. Slow
 is not dead: only a node that breaks connections or answers, or that leaves
 several calls of one route without any answer for many times their usual time,
-is unfit.
+is unfit. The node beside a backend server tells how many answers it lost lately,
+for all senders, since each of them alone sees too few.
 """
 
 from math import inf
@@ -103,6 +104,8 @@
         elif signal.timed_out and signal.outcome is not Outcome.NOT_RUN:
             judgement.wait_for(signal.route, now).in_vain += 1
             judgement.miss(now - signal.elapsed_s, now)
+        if signal.unanswered >= self.limits.unanswered_ratio:
+            judgement.chart.send("losing", now)
         return ()
 
     def is_answer(self, signal: AttemptObserved) -> bool:
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -393,6 +393,8 @@
         Time between the attempt's start and its end.
     timed_out : bool
         Whether the call's time was up before a reply came.
+    unanswered : float
+        Share of all runs there, of any sender, whose answer was lost lately.
     """
 
     node: str
@@ -401,6 +403,7 @@
     reason: Reason | None
     elapsed_s: float
     timed_out: bool
+    unanswered: float = 0.0
 
 
 # Quotas.
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -92,6 +92,8 @@
         Runs that one run there causes in the whole chain, itself included.
     strain : float
         Share of runs there that lose a nested call to overload.
+    unanswered : float
+        Share of runs there lately whose answer was lost or broken.
     """
 
     running: int = 0
@@ -100,6 +102,7 @@
     level: Importance = Importance.BACKGROUND
     work: float = 1.0
     strain: float = 0.0
+    unanswered: float = 0.0
 
 
 @frozen
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -185,6 +185,7 @@
 
     window: int = count_field()
     failure_ratio: float = share_field()
+    unanswered_ratio: float = share_field()
     eject_ms: int = count_field()
     stall_factor: float = positive_field()
     stall_floor_ms: int = count_field()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,5 +1,9 @@
 """Judgement of nodes by real traffic."""
 
+from random import Random
+
+import pytest
+
 from monsoonmill.decisions.signals import (
     AttemptObserved,
     AttemptStarted,
@@ -162,3 +166,51 @@
     return AttemptObserved(
         node, "lookup", Outcome.UNKNOWN, Reason.BROKEN_ANSWER, 0.0, False
     )
+
+
+SENDERS = 16
+BUSY_CALLS_PER_S = 160
+"""What four hosts of one service get on the users' platform at least."""
+LOST_SHARE = 0.4
+DETECTED_S = 2.0
+
+
+def loses_answers(node, share, seed):
+    """Return a behaviour in which one backend server loses a share of its answers."""
+
+    rng = Random(seed)
+
+    def run(ran_at, call):
+        if ran_at is node and rng.random() < share:
+            return 0.05, RunFinished(call.attempt, None, RunFailure.CONNECTION_LOST)
+        return answer_ok(ran_at, call, 0.05)
+
+    return run
+
+
+def lost_of_many_senders(share, seed, seconds=12):
+    fleet, nodes = make_fleet(Servers(), call={"tries": 0})
+    fleet._run = loses_answers(nodes[-1], share, seed)
+    senders = [*nodes, *(fleet.add(service="care") for _ in range(SENDERS - SIZE))]
+    fleet.advance(5)
+    sent = []
+    for tick in range(seconds * BUSY_CALLS_PER_S):
+        node = senders[tick % SENDERS]
+        name = fleet.call(node, "donkeys", f"/lookup/{tick}", bearer=SECRET)
+        sent.append((tick / BUSY_CALLS_PER_S, node, name))
+        fleet.advance(1 / BUSY_CALLS_PER_S)
+    fleet.advance(2)
+    later = [(node, name) for at, node, name in sent if at >= DETECTED_S]
+    return sum(lost(node, [name]) for node, name in later) / len(later), nodes
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_server_that_loses_many_answers_is_avoided_by_all_senders(seed):
+    share, _ = lost_of_many_senders(LOST_SHARE, seed)
+    assert share <= LOST_SHARE / SIZE / 3
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_server_that_loses_few_answers_is_used(seed):
+    _, nodes = lost_of_many_senders(0.06, seed)
+    assert sum(node.core.counters.value("ejections") for node in nodes) == 0
