--- a/src/monsoonmill/decisions/admission.py
+++ b/src/monsoonmill/decisions/admission/admission.py
@@ -2,13 +2,13 @@
 
 from abc import abstractmethod
 
-from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.signals import (
+from monsoonmill.decisions.admission.signals import (
     AdmitCall,
     Admitted,
     LeaveQueue,
     SlotReleased,
 )
+from monsoonmill.decisions.decision import Decision
 from monsoonmill.messages import Load
 
 
--- a/src/monsoonmill/decisions/concurrency_limit.py
+++ b/src/monsoonmill/decisions/admission/concurrency_limit.py
@@ -13,7 +13,7 @@
 from attrs import define, field, frozen
 
 from monsoonmill.chart import bind_methods
-from monsoonmill.decisions.route_latency import RouteLatencies
+from monsoonmill.decisions.admission.route_latency import RouteLatencies
 from monsoonmill.settings import AdmissionSettings
 
 MIN_SAMPLES = 20
--- a/src/monsoonmill/decisions/admission_queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -2,23 +2,19 @@
 
 from attrs import define, frozen
 
-from monsoonmill.decisions.admission import Admission
-from monsoonmill.decisions.admission_level import AdmissionLevel
-from monsoonmill.decisions.concurrency_limit import (
+from monsoonmill.decisions.admission.admission import Admission
+from monsoonmill.decisions.admission.concurrency_limit import (
     AdaptiveLimit,
     ConcurrencyLimit,
     FixedLimit,
     RunEnd,
     RunSample,
 )
-from monsoonmill.decisions.fair_queue import FairQueue, QueuedCall
-from monsoonmill.decisions.signals import (
-    Admitted,
-    BackendAnnounced,
-    NotAdmitted,
-    SlotReleased,
-)
-from monsoonmill.decisions.slots_limit import SlotsLimit
+from monsoonmill.decisions.admission.fair_queue import FairQueue, QueuedCall
+from monsoonmill.decisions.admission.level import AdmissionLevel
+from monsoonmill.decisions.admission.signals import Admitted, NotAdmitted, SlotReleased
+from monsoonmill.decisions.admission.slots_limit import SlotsLimit
+from monsoonmill.decisions.signals import BackendAnnounced
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.messages import Load
 from monsoonmill.reasons import Importance, Reason
--- a/src/monsoonmill/decisions/slots_limit.py
+++ b/src/monsoonmill/decisions/admission/slots_limit.py
@@ -1,7 +1,11 @@
 """Concurrency limit that follows the slots that a backend server announces."""
 
-from monsoonmill.decisions.concurrency_limit import ConcurrencyLimit, RunEnd, RunSample
-from monsoonmill.decisions.route_latency import RouteLatencies
+from monsoonmill.decisions.admission.concurrency_limit import (
+    ConcurrencyLimit,
+    RunEnd,
+    RunSample,
+)
+from monsoonmill.decisions.admission.route_latency import RouteLatencies
 
 
 class SlotsLimit(ConcurrencyLimit):
--- /dev/null
+++ b/src/monsoonmill/decisions/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that come in, and the attempts that run them."""
--- a/src/monsoonmill/decisions/authorization.py
+++ b/src/monsoonmill/decisions/calls/authorization.py
@@ -5,8 +5,9 @@
 
 from attrs import evolve, frozen
 
+from monsoonmill.decisions.calls.signals import CallArrived
+from monsoonmill.decisions.configuration.signals import ConfigChanged
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.signals import CallArrived, ConfigChanged
 from monsoonmill.errors import RefusedError
 from monsoonmill.model import OPEN_ORGANISATION, Config, Route
 from monsoonmill.notes import digest_key
--- a/src/monsoonmill/decisions/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -7,20 +7,14 @@
 
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.authorization import (
+from monsoonmill.decisions.calls.authorization import (
     Caller,
 )
-from monsoonmill.decisions.retries import RetryLimiter
-from monsoonmill.decisions.signals import (
-    Answer,
-    CallArrived,
-    ClaimDenied,
-    ClaimDone,
-    ClaimWanted,
-    Send,
-    TokenDenied,
-    TokenWanted,
-)
+from monsoonmill.decisions.calls.signals import Answer, CallArrived
+from monsoonmill.decisions.claims.signals import ClaimDenied, ClaimDone, ClaimWanted
+from monsoonmill.decisions.quota.signals import TokenDenied, TokenWanted
+from monsoonmill.decisions.retries.retries import RetryLimiter
+from monsoonmill.decisions.signals import Send
 from monsoonmill.messages import Cancel, Load, Reply
 from monsoonmill.model import CallContext, Route
 from monsoonmill.reasons import Outcome, Reason, RetryReason
--- a/src/monsoonmill/decisions/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -2,18 +2,18 @@
 
 from attrs import evolve
 
-from monsoonmill.decisions.authorization import (
+from monsoonmill.decisions.admission.entry_limit import EntryLimit
+from monsoonmill.decisions.admission.front_door import FrontDoor
+from monsoonmill.decisions.calls.authorization import (
     Authorization,
     Caller,
     fingerprint_request,
 )
-from monsoonmill.decisions.call import Call, CallOwner
-from monsoonmill.decisions.contexts import Contexts
-from monsoonmill.decisions.entry_limit import EntryLimit
-from monsoonmill.decisions.front_door import FrontDoor
-from monsoonmill.decisions.poison import PoisonGuard
-from monsoonmill.decisions.running_chains import RunningChains
-from monsoonmill.decisions.signals import CallArrived
+from monsoonmill.decisions.calls.call import Call, CallOwner
+from monsoonmill.decisions.calls.contexts import Contexts
+from monsoonmill.decisions.calls.running_chains import RunningChains
+from monsoonmill.decisions.calls.signals import CallArrived
+from monsoonmill.decisions.poison.poison import PoisonGuard
 from monsoonmill.errors import RefusedError
 from monsoonmill.model import CallContext
 from monsoonmill.reasons import Importance, Reason
--- a/src/monsoonmill/decisions/calls.py
+++ b/src/monsoonmill/decisions/calls/calls.py
@@ -5,8 +5,11 @@
 from attrs import evolve
 
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.authorization import Authorization
-from monsoonmill.decisions.call import (
+from monsoonmill.decisions.admission.chain_strain import ChainStrain, lost_to_overload
+from monsoonmill.decisions.admission.entry_limit import EntryLimit
+from monsoonmill.decisions.admission.front_door import FrontDoor
+from monsoonmill.decisions.calls.authorization import Authorization
+from monsoonmill.decisions.calls.call import (
     CALL_CHART,
     RETRY_COUNTERS,
     Call,
@@ -16,33 +19,23 @@
     check_whole,
     is_unplaced,
 )
-from monsoonmill.decisions.call_checks import CallChecks
-from monsoonmill.decisions.chain_strain import ChainStrain, lost_to_overload
-from monsoonmill.decisions.chain_work import ChainWork
-from monsoonmill.decisions.contexts import Contexts
-from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.entry_limit import EntryLimit
-from monsoonmill.decisions.front_door import FrontDoor
-from monsoonmill.decisions.poison import PoisonGuard
-from monsoonmill.decisions.retries import RetryLimiter
-from monsoonmill.decisions.routing import Router
-from monsoonmill.decisions.signals import (
+from monsoonmill.decisions.calls.call_checks import CallChecks
+from monsoonmill.decisions.calls.contexts import Contexts
+from monsoonmill.decisions.calls.signals import (
     Answer,
-    AttemptObserved,
-    AttemptStarted,
     CallArrived,
     CallerGone,
     CallReport,
-    ClaimDenied,
-    ClaimDone,
-    ClaimGiven,
-    PeerDown,
-    PeerUnreachable,
-    Send,
-    TokenDenied,
-    TokenGiven,
-    TokenReturned,
 )
+from monsoonmill.decisions.claims.signals import ClaimDenied, ClaimDone, ClaimGiven
+from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.health.signals import AttemptObserved, AttemptStarted
+from monsoonmill.decisions.poison.poison import PoisonGuard
+from monsoonmill.decisions.quota.signals import TokenDenied, TokenGiven, TokenReturned
+from monsoonmill.decisions.retries.chain_work import ChainWork
+from monsoonmill.decisions.retries.retries import RetryLimiter
+from monsoonmill.decisions.routing.routing import Router
+from monsoonmill.decisions.signals import PeerDown, PeerUnreachable, Send
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import RefusedError
 from monsoonmill.messages import Forward, Load, Reply
--- a/src/monsoonmill/decisions/executions.py
+++ b/src/monsoonmill/decisions/calls/executions.py
@@ -7,34 +7,37 @@
 
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.admission import Admission
-from monsoonmill.decisions.authorization import Authorization
-from monsoonmill.decisions.chain_strain import ChainStrain
-from monsoonmill.decisions.chain_work import ChainWork
-from monsoonmill.decisions.contexts import Contexts
-from monsoonmill.decisions.crashes import CrashCounter
-from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.fading_share import FadingShare
-from monsoonmill.decisions.pauses import PauseWatch
-from monsoonmill.decisions.poison import PoisonGuard
-from monsoonmill.decisions.running_chains import RunningChains
-from monsoonmill.decisions.signals import (
-    AbortRun,
+from monsoonmill.decisions.admission.admission import Admission
+from monsoonmill.decisions.admission.chain_strain import ChainStrain
+from monsoonmill.decisions.admission.signals import (
     AdmitCall,
     Admitted,
-    BackendAnnounced,
-    BackendCrashed,
-    BackendUnreachable,
     LeaveQueue,
     NotAdmitted,
-    Received,
+    SlotReleased,
+)
+from monsoonmill.decisions.calls.authorization import Authorization
+from monsoonmill.decisions.calls.contexts import Contexts
+from monsoonmill.decisions.calls.pauses import PauseWatch
+from monsoonmill.decisions.calls.running_chains import RunningChains
+from monsoonmill.decisions.calls.signals import (
+    AbortRun,
     RunCall,
     RunFailure,
     RunFinished,
     RunReport,
+)
+from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.fading_share import FadingShare
+from monsoonmill.decisions.poison.crashes import CrashCounter
+from monsoonmill.decisions.poison.poison import PoisonGuard
+from monsoonmill.decisions.poison.signals import BackendCrashed, SuspectAnswered
+from monsoonmill.decisions.retries.chain_work import ChainWork
+from monsoonmill.decisions.signals import (
+    BackendAnnounced,
+    BackendUnreachable,
+    Received,
     Send,
-    SlotReleased,
-    SuspectAnswered,
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import RefusedError
--- /dev/null
+++ b/src/monsoonmill/decisions/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At most one run for each Idempotency-Key."""
--- a/src/monsoonmill/decisions/claim_asks.py
+++ b/src/monsoonmill/decisions/claims/asks.py
@@ -16,13 +16,13 @@
     ClaimSettled,
 )
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.signals import (
+from monsoonmill.decisions.claims.signals import (
     ClaimDenied,
     ClaimDone,
     ClaimGiven,
     ClaimWanted,
-    Send,
 )
+from monsoonmill.decisions.signals import Send
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.reasons import Outcome, Reason
 
--- a/src/monsoonmill/decisions/claims.py
+++ b/src/monsoonmill/decisions/claims/claims.py
@@ -2,8 +2,8 @@
 
 from abc import abstractmethod
 
+from monsoonmill.decisions.claims.signals import ClaimDone, ClaimGiven, ClaimWanted
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.signals import ClaimDone, ClaimGiven, ClaimWanted
 
 
 class Claims(Decision):
--- a/src/monsoonmill/decisions/claim_home.py
+++ b/src/monsoonmill/decisions/claims/home.py
@@ -15,10 +15,10 @@
 )
 from monsoonmill.claim_records import CopyHolder, PartitionRecord
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.claim_map import MapKeeper
-from monsoonmill.decisions.claim_replication import Replica
-from monsoonmill.decisions.claim_rules import judge_ended, judge_request, judge_settle
-from monsoonmill.decisions.claim_table import OVERDUE_GRACE_S, ClaimTable
+from monsoonmill.decisions.claims.map import MapKeeper
+from monsoonmill.decisions.claims.replication import Replica
+from monsoonmill.decisions.claims.rules import judge_ended, judge_request, judge_settle
+from monsoonmill.decisions.claims.table import OVERDUE_GRACE_S, ClaimTable
 from monsoonmill.decisions.signals import Received, Send
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.settings import Settings
--- a/src/monsoonmill/decisions/claim_map.py
+++ b/src/monsoonmill/decisions/claims/map.py
@@ -12,8 +12,8 @@
 from monsoonmill.claim_messages import ClaimMapReply, ClaimMapRequest
 from monsoonmill.claim_records import ClaimMap, PartitionRecord
 from monsoonmill.codec import ConfigCodec
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.rendezvous import first_member
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.rendezvous import first_member
 from monsoonmill.decisions.signals import (
     PlatformDone,
     PlatformFailed,
--- a/src/monsoonmill/decisions/claims_paired.py
+++ b/src/monsoonmill/decisions/claims/paired.py
@@ -18,20 +18,15 @@
 from monsoonmill.claim_records import CopyHolder
 from monsoonmill.codec import ConfigCodec
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.claim_asks import ClaimAsks, ClaimHomes
-from monsoonmill.decisions.claim_home import ClaimHome
-from monsoonmill.decisions.claim_map import READ, SWAP, MapKeeper
-from monsoonmill.decisions.claim_placement import Placement
-from monsoonmill.decisions.claim_review import PREPARED_JITTER_S, MapReview
-from monsoonmill.decisions.claims import Claims
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.signals import (
-    MembersChanged,
-    PlatformDone,
-    PlatformFailed,
-    Received,
-    SelfLeaving,
-)
+from monsoonmill.decisions.claims.asks import ClaimAsks, ClaimHomes
+from monsoonmill.decisions.claims.claims import Claims
+from monsoonmill.decisions.claims.home import ClaimHome
+from monsoonmill.decisions.claims.map import READ, SWAP, MapKeeper
+from monsoonmill.decisions.claims.placement import Placement
+from monsoonmill.decisions.claims.review import PREPARED_JITTER_S, MapReview
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.signals import MembersChanged, SelfLeaving
+from monsoonmill.decisions.signals import PlatformDone, PlatformFailed, Received
 from monsoonmill.settings import Settings
 
 
--- a/src/monsoonmill/decisions/claim_pending.py
+++ b/src/monsoonmill/decisions/claims/pending.py
@@ -5,7 +5,7 @@
 from attrs import define
 
 from monsoonmill.claim_messages import ClaimReplicated, ClaimReply
-from monsoonmill.decisions.claim_table import ClaimEntry, ClaimTable
+from monsoonmill.decisions.claims.table import ClaimEntry, ClaimTable
 from monsoonmill.decisions.signals import Send
 from monsoonmill.reasons import Outcome, Reason
 
--- a/src/monsoonmill/decisions/claim_placement.py
+++ b/src/monsoonmill/decisions/claims/placement.py
@@ -16,9 +16,9 @@
     CopyHolder,
     PartitionRecord,
 )
-from monsoonmill.decisions.claim_replication import Replica
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.rendezvous import first_member, rank_members
+from monsoonmill.decisions.claims.replication import Replica
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.rendezvous import first_member, rank_members
 from monsoonmill.model import Member, MemberState
 from monsoonmill.settings import ClaimSettings
 
--- a/src/monsoonmill/decisions/claim_replication.py
+++ b/src/monsoonmill/decisions/claims/replication.py
@@ -20,9 +20,9 @@
     ClaimTransferred,
 )
 from monsoonmill.claim_records import FIRST_EPOCH, CopyHolder, PartitionRecord
-from monsoonmill.decisions.claim_pending import PendingChanges
-from monsoonmill.decisions.claim_table import ClaimEntry, ClaimTable
-from monsoonmill.decisions.claim_transfer import OutgoingTransfer, cut_batches
+from monsoonmill.decisions.claims.pending import PendingChanges
+from monsoonmill.decisions.claims.table import ClaimEntry, ClaimTable
+from monsoonmill.decisions.claims.transfer import OutgoingTransfer, cut_batches
 from monsoonmill.decisions.signals import Send
 
 NEVER_COMPLETE = 0
--- a/src/monsoonmill/decisions/claim_review.py
+++ b/src/monsoonmill/decisions/claims/review.py
@@ -5,10 +5,10 @@
 
 from monsoonmill.claim_records import ClaimMap, PartitionRecord
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.claim_home import ClaimHome
-from monsoonmill.decisions.claim_map import MapKeeper
-from monsoonmill.decisions.claim_placement import Placement
-from monsoonmill.decisions.claim_replication import Replica
+from monsoonmill.decisions.claims.home import ClaimHome
+from monsoonmill.decisions.claims.map import MapKeeper
+from monsoonmill.decisions.claims.placement import Placement
+from monsoonmill.decisions.claims.replication import Replica
 from monsoonmill.decisions.timers import Timers
 
 REVIEW = "review"
--- a/src/monsoonmill/decisions/claim_rules.py
+++ b/src/monsoonmill/decisions/claims/rules.py
@@ -5,7 +5,7 @@
 from monsoonmill.claim_messages import ClaimReply, ClaimRequest, ClaimSettle
 from monsoonmill.claim_records import ClaimState
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.claim_table import EVENTS, ClaimEntry, ClaimTable
+from monsoonmill.decisions.claims.table import EVENTS, ClaimEntry, ClaimTable
 from monsoonmill.reasons import Outcome, Reason
 
 RETRY_AFTER_S = 1.0
--- a/src/monsoonmill/decisions/claims_single.py
+++ b/src/monsoonmill/decisions/claims/single.py
@@ -17,12 +17,12 @@
     ClaimSettled,
 )
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.claim_asks import ClaimAsks, ClaimHomes
-from monsoonmill.decisions.claim_rules import judge_request, judge_settle
-from monsoonmill.decisions.claim_table import ClaimTable
-from monsoonmill.decisions.claims import Claims
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.rendezvous import first_member
+from monsoonmill.decisions.claims.asks import ClaimAsks, ClaimHomes
+from monsoonmill.decisions.claims.claims import Claims
+from monsoonmill.decisions.claims.rules import judge_request, judge_settle
+from monsoonmill.decisions.claims.table import ClaimTable
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.rendezvous import first_member
 from monsoonmill.decisions.signals import Received, Send
 from monsoonmill.settings import Settings
 
--- /dev/null
+++ b/src/monsoonmill/decisions/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force, and what it allows."""
--- a/src/monsoonmill/decisions/configuration.py
+++ b/src/monsoonmill/decisions/configuration/configuration.py
@@ -9,18 +9,20 @@
 
 from monsoonmill.codec import ConfigCodec
 from monsoonmill.config_delta import apply_delta, make_delta
-from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.pending_note import (
+from monsoonmill.decisions.configuration.pending_note import (
     CONFIG_KEY,
     NOTE_CHART,
     NoteRegister,
     PendingNote,
 )
-from monsoonmill.decisions.signals import (
+from monsoonmill.decisions.configuration.signals import (
     ConfigAdopted,
     ConfigChanged,
     NoteRefused,
     NoteSubmitted,
+)
+from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.signals import (
     PlatformDone,
     PlatformFailed,
     PlatformRead,
--- a/src/monsoonmill/decisions/pending_note.py
+++ b/src/monsoonmill/decisions/configuration/pending_note.py
@@ -7,13 +7,8 @@
 
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.codec import ConfigCodec
-from monsoonmill.decisions.signals import (
-    NoteAccepted,
-    NoteRefused,
-    PlatformRead,
-    PlatformSwap,
-    StoredValue,
-)
+from monsoonmill.decisions.configuration.signals import NoteAccepted, NoteRefused
+from monsoonmill.decisions.signals import PlatformRead, PlatformSwap, StoredValue
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import (
     ConfigTooLargeError,
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -5,17 +5,21 @@
 
 from monsoonmill.codec import ConfigCodec
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.authorization import Authorization
-from monsoonmill.decisions.backend_identity import BackendIdentity
-from monsoonmill.decisions.call_checks import CallChecks
-from monsoonmill.decisions.calls import CallFlow
-from monsoonmill.decisions.chain_strain import ChainStrain
-from monsoonmill.decisions.chain_work import ChainWork
-from monsoonmill.decisions.configuration import ConfigRegister, ConfigView
+from monsoonmill.decisions.admission.chain_strain import ChainStrain
+from monsoonmill.decisions.calls.authorization import Authorization
+from monsoonmill.decisions.calls.call_checks import CallChecks
+from monsoonmill.decisions.calls.calls import CallFlow
+from monsoonmill.decisions.calls.executions import Executions
+from monsoonmill.decisions.calls.running_chains import RunningChains
+from monsoonmill.decisions.configuration.configuration import ConfigRegister, ConfigView
 from monsoonmill.decisions.decision import SignalBus
-from monsoonmill.decisions.draining import Draining
-from monsoonmill.decisions.executions import Executions
-from monsoonmill.decisions.membership import Membership
+from monsoonmill.decisions.lifecycle.backend_identity import BackendIdentity
+from monsoonmill.decisions.lifecycle.draining import Draining
+from monsoonmill.decisions.lifecycle.readiness import Readiness
+from monsoonmill.decisions.lifecycle.signals import StatusReport, StatusWanted
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.seed_directory import SeedDirectory
+from monsoonmill.decisions.members.watchers import WatcherChoice
 from monsoonmill.decisions.policies import (
     make_admission,
     make_claims,
@@ -27,12 +31,8 @@
     make_poison,
     make_quota,
 )
-from monsoonmill.decisions.readiness import Readiness
-from monsoonmill.decisions.routing import Router
-from monsoonmill.decisions.running_chains import RunningChains
-from monsoonmill.decisions.seed_directory import SeedDirectory
-from monsoonmill.decisions.signals import StatusReport, StatusWanted
-from monsoonmill.decisions.watchers import WatcherChoice
+from monsoonmill.decisions.retries.chain_work import ChainWork
+from monsoonmill.decisions.routing.routing import Router
 from monsoonmill.model import Address, Member
 from monsoonmill.settings import Settings
 
--- /dev/null
+++ b/src/monsoonmill/decisions/health/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes are fit to be used."""
--- a/src/monsoonmill/decisions/health.py
+++ b/src/monsoonmill/decisions/health/health.py
@@ -3,7 +3,7 @@
 from abc import abstractmethod
 
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.signals import AttemptObserved
+from monsoonmill.decisions.health.signals import AttemptObserved
 
 
 class Health(Decision):
--- a/src/monsoonmill/decisions/health_passive.py
+++ b/src/monsoonmill/decisions/health/passive.py
@@ -10,19 +10,16 @@
 from math import inf
 
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.backend_judgement import (
+from monsoonmill.decisions.health.health import Health
+from monsoonmill.decisions.health.judgement import (
     HEALTH_CHART,
     MAX_ROUTES,
     Judge,
     Judgement,
 )
-from monsoonmill.decisions.health import Health
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.signals import (
-    AttemptObserved,
-    AttemptStarted,
-    MembersChanged,
-)
+from monsoonmill.decisions.health.signals import AttemptObserved, AttemptStarted
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.signals import MembersChanged
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.reasons import Outcome, Reason
 from monsoonmill.settings import HealthSettings
--- /dev/null
+++ b/src/monsoonmill/decisions/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""How a node and its backend server come and go."""
--- a/src/monsoonmill/decisions/backend_identity.py
+++ b/src/monsoonmill/decisions/lifecycle/backend_identity.py
@@ -9,11 +9,8 @@
 from attrs import define
 
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.signals import (
-    BackendAnnounced,
-    BackendHeartbeat,
-    BackendLeaves,
-)
+from monsoonmill.decisions.lifecycle.signals import BackendHeartbeat
+from monsoonmill.decisions.signals import BackendAnnounced, BackendLeaves
 from monsoonmill.eventlog import get_logger
 from monsoonmill.model import Address
 
--- a/src/monsoonmill/decisions/draining.py
+++ b/src/monsoonmill/decisions/lifecycle/draining.py
@@ -2,10 +2,11 @@
 
 from monsoonmill.chart import bind_methods
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.calls import CallFlow
+from monsoonmill.decisions.calls.calls import CallFlow
+from monsoonmill.decisions.calls.executions import Executions
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.executions import Executions
-from monsoonmill.decisions.signals import Drained, DrainRequested, SelfLeaving
+from monsoonmill.decisions.lifecycle.signals import Drained, DrainRequested
+from monsoonmill.decisions.members.signals import SelfLeaving
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.settings import DrainSettings
 
--- a/src/monsoonmill/decisions/readiness.py
+++ b/src/monsoonmill/decisions/lifecycle/readiness.py
@@ -5,15 +5,13 @@
 """
 
 from monsoonmill.chart import bind_methods
-from monsoonmill.decisions.configuration import ConfigRegister, ConfigView
+from monsoonmill.decisions.configuration.configuration import ConfigRegister, ConfigView
+from monsoonmill.decisions.configuration.signals import ConfigChanged
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.signals import (
-    ConfigChanged,
-    MembersChanged,
-    PlatformDone,
-    Ready,
-)
+from monsoonmill.decisions.lifecycle.signals import Ready
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.signals import MembersChanged
+from monsoonmill.decisions.signals import PlatformDone
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.settings import Settings
 
--- /dev/null
+++ b/src/monsoonmill/decisions/members/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes are there."""
--- a/src/monsoonmill/decisions/failure_detection.py
+++ b/src/monsoonmill/decisions/members/failure_detection.py
@@ -6,13 +6,12 @@
 from attrs import evolve
 
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.known_member import FailureDetector, KnownMember
-from monsoonmill.decisions.member_entries import is_live
-from monsoonmill.decisions.member_table import MemberTable, UpdateQueue
+from monsoonmill.decisions.members.entries import is_live
+from monsoonmill.decisions.members.known_member import FailureDetector, KnownMember
+from monsoonmill.decisions.members.signals import MemberChanged, MembersChanged
+from monsoonmill.decisions.members.table import MemberTable, UpdateQueue
 from monsoonmill.decisions.signals import (
     AddressLearned,
-    MemberChanged,
-    MembersChanged,
     PeerDown,
     PeerUnreachable,
     Received,
--- a/src/monsoonmill/decisions/membership.py
+++ b/src/monsoonmill/decisions/members/membership.py
@@ -10,29 +10,29 @@
 
 from attrs import evolve
 
-from monsoonmill.decisions.configuration import ConfigView
-from monsoonmill.decisions.failure_detection import FailureDetection
-from monsoonmill.decisions.known_member import (
-    FORGET,
-    MEMBER_CHART,
-    TIMER_EVENTS,
-    KnownMember,
-)
-from monsoonmill.decisions.member_entries import (
+from monsoonmill.decisions.configuration.configuration import ConfigView
+from monsoonmill.decisions.configuration.signals import ConfigChanged
+from monsoonmill.decisions.members.entries import (
     describe_member,
     is_live,
     is_same_version,
     supersedes,
 )
-from monsoonmill.decisions.partners import Partners
+from monsoonmill.decisions.members.failure_detection import FailureDetection
+from monsoonmill.decisions.members.known_member import (
+    FORGET,
+    MEMBER_CHART,
+    TIMER_EVENTS,
+    KnownMember,
+)
+from monsoonmill.decisions.members.partners import Partners
+from monsoonmill.decisions.members.signals import SelfLeaving
 from monsoonmill.decisions.signals import (
     BackendAnnounced,
     BackendUnreachable,
-    ConfigChanged,
     Connect,
     PeerUp,
     Received,
-    SelfLeaving,
     Send,
 )
 from monsoonmill.messages import (
--- a/src/monsoonmill/decisions/partners.py
+++ b/src/monsoonmill/decisions/members/partners.py
@@ -4,7 +4,7 @@
 from math import ceil, log2
 from random import Random
 
-from monsoonmill.decisions.known_member import KnownMember
+from monsoonmill.decisions.members.known_member import KnownMember
 
 MIN_PARTNERS = 8
 EXTRA_PARTNERS = 3
--- a/src/monsoonmill/decisions/seed_directory.py
+++ b/src/monsoonmill/decisions/members/seed_directory.py
@@ -8,7 +8,8 @@
 from random import Random
 
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.membership import Membership
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.watchers import choose_watchers
 from monsoonmill.decisions.signals import (
     Connect,
     PlatformDone,
@@ -18,7 +19,6 @@
     PlatformSwap,
 )
 from monsoonmill.decisions.timers import Timers
-from monsoonmill.decisions.watchers import choose_watchers
 from monsoonmill.errors import PlatformConflictError
 from monsoonmill.model import MemberState
 from monsoonmill.settings import Settings
--- a/src/monsoonmill/decisions/member_table.py
+++ b/src/monsoonmill/decisions/members/table.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterator
 from math import ceil, log2
 
-from monsoonmill.decisions.known_member import KnownMember
-from monsoonmill.decisions.member_entries import (
+from monsoonmill.decisions.members.entries import (
     BUCKETS,
     bucket_of,
     digest_member,
     is_live,
 )
+from monsoonmill.decisions.members.known_member import KnownMember
 from monsoonmill.model import Member
 
 MAX_MEMBERS = 4096
--- a/src/monsoonmill/decisions/watchers.py
+++ b/src/monsoonmill/decisions/members/watchers.py
@@ -1,10 +1,10 @@
 """Choice of the few nodes that watch the platform for their data centre."""
 
-from monsoonmill.decisions.configuration import ConfigRegister
+from monsoonmill.decisions.configuration.configuration import ConfigRegister
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.rendezvous import rank_members
-from monsoonmill.decisions.signals import MembersChanged
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.rendezvous import rank_members
+from monsoonmill.decisions.members.signals import MembersChanged
 from monsoonmill.model import Member, MemberState
 from monsoonmill.settings import Settings
 
--- /dev/null
+++ b/src/monsoonmill/decisions/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash backend servers."""
--- a/src/monsoonmill/decisions/poison_guard.py
+++ b/src/monsoonmill/decisions/poison/guard.py
@@ -9,17 +9,12 @@
 from math import ceil, log2
 
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.poison import PoisonGuard
-from monsoonmill.decisions.rendezvous import rank_members
-from monsoonmill.decisions.signals import (
-    BackendCrashed,
-    PeerUp,
-    Received,
-    Send,
-    SuspectAnswered,
-)
-from monsoonmill.decisions.suspects import SuspectTable
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.rendezvous import rank_members
+from monsoonmill.decisions.poison.poison import PoisonGuard
+from monsoonmill.decisions.poison.signals import BackendCrashed, SuspectAnswered
+from monsoonmill.decisions.poison.suspects import SuspectTable
+from monsoonmill.decisions.signals import PeerUp, Received, Send
 from monsoonmill.messages import PoisonNotice, SuspectClearance, SuspectReport
 from monsoonmill.settings import PoisonSettings
 
--- a/src/monsoonmill/decisions/poison.py
+++ b/src/monsoonmill/decisions/poison/poison.py
@@ -3,7 +3,7 @@
 from abc import abstractmethod
 
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.signals import BackendCrashed
+from monsoonmill.decisions.poison.signals import BackendCrashed
 
 
 class PoisonGuard(Decision):
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -6,30 +6,30 @@
 
 from monsoonmill.codec import ConfigCodec
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.admission import Admission, AdmitAll
-from monsoonmill.decisions.admission_queued import QueuedAdmission
-from monsoonmill.decisions.claims import Claims, NoClaims
-from monsoonmill.decisions.configuration import ConfigView
-from monsoonmill.decisions.contexts import Contexts, ContextTable, NoContexts
-from monsoonmill.decisions.entry_limit import (
+from monsoonmill.decisions.admission.admission import Admission, AdmitAll
+from monsoonmill.decisions.admission.entry_limit import (
     AdaptiveEntryLimit,
     EntryLimit,
     NoEntryLimit,
 )
-from monsoonmill.decisions.front_door import FrontDoor, OpenDoor, ThreadDoor
-from monsoonmill.decisions.health import AllHealthy, Health
-from monsoonmill.decisions.health_passive import PassiveHealth
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.poison import NoPoison, PoisonGuard
-from monsoonmill.decisions.poison_guard import FleetPoisonGuard
-from monsoonmill.decisions.quota import Quota, UnlimitedQuota
-from monsoonmill.decisions.routing import PlaceInRegion, PlaceNearby, Placing
+from monsoonmill.decisions.admission.front_door import FrontDoor, OpenDoor, ThreadDoor
+from monsoonmill.decisions.admission.queued import QueuedAdmission
+from monsoonmill.decisions.calls.contexts import Contexts, ContextTable, NoContexts
+from monsoonmill.decisions.claims.claims import Claims, NoClaims
+from monsoonmill.decisions.configuration.configuration import ConfigView
+from monsoonmill.decisions.health.health import AllHealthy, Health
+from monsoonmill.decisions.health.passive import PassiveHealth
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.poison.guard import FleetPoisonGuard
+from monsoonmill.decisions.poison.poison import NoPoison, PoisonGuard
+from monsoonmill.decisions.quota.quota import Quota, UnlimitedQuota
+from monsoonmill.decisions.routing.routing import PlaceInRegion, PlaceNearby, Placing
 from monsoonmill.settings import Settings
 
 BOUNDED_QUOTAS = {
-    "escrow": ("quota_escrow", "EscrowQuota"),
-    "fixed-slices": ("quota_variants", "FixedSlicesQuota"),
-    "single-holder": ("quota_variants", "SingleHolderQuota"),
+    "escrow": ("quota.escrow", "EscrowQuota"),
+    "fixed-slices": ("quota.variants", "FixedSlicesQuota"),
+    "single-holder": ("quota.variants", "SingleHolderQuota"),
 }
 """Module and class of each variant that lends slices."""
 
@@ -54,9 +54,9 @@
     if name == "unlimited":
         return UnlimitedQuota()
     if name == "replicated":
-        variant = load_variant("quota_replicated", "ReplicatedQuota")
+        variant = load_variant("quota.replicated", "ReplicatedQuota")
         return variant(cfg.quota, members, view, counters)
-    parts = load_variant("quota_parking", "QuotaParts")
+    parts = load_variant("quota.parking", "QuotaParts")
     variant = load_variant(*BOUNDED_QUOTAS[name])
     return variant(parts(cfg.quota, members, view, rng, counters))
 
@@ -70,10 +70,10 @@
 ) -> Claims:
     """Return the part that gives out claims."""
     if cfg.policy.claims == "paired":
-        variant = load_variant("claims_paired", "PairedClaims")
+        variant = load_variant("claims.paired", "PairedClaims")
         return variant(cfg, members, codec, rng, counters)
     if cfg.policy.claims == "single-home":
-        variant = load_variant("claims_single", "SingleHomeClaims")
+        variant = load_variant("claims.single", "SingleHomeClaims")
         return variant(cfg, members, rng, counters)
     return NoClaims()
 
--- /dev/null
+++ b/src/monsoonmill/decisions/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Rates of organisations over the whole fleet."""
--- a/src/monsoonmill/decisions/quota_escrow.py
+++ b/src/monsoonmill/decisions/quota/escrow.py
@@ -2,15 +2,12 @@
 
 from attrs import define
 
-from monsoonmill.decisions.held_tokens import HeldLoan
-from monsoonmill.decisions.quota_held import HeldOrganisation, HeldQuota
-from monsoonmill.decisions.quota_parking import QuotaParts, QuotaTimer
-from monsoonmill.decisions.quota_sliced import SlicedQuota
-from monsoonmill.decisions.signals import (
-    Received,
-    Send,
-)
-from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN
+from monsoonmill.decisions.quota.held import HeldOrganisation, HeldQuota
+from monsoonmill.decisions.quota.held_tokens import HeldLoan
+from monsoonmill.decisions.quota.parking import QuotaParts, QuotaTimer
+from monsoonmill.decisions.quota.sliced import SlicedQuota
+from monsoonmill.decisions.quota.slices import CLOCK_RATE_MARGIN
+from monsoonmill.decisions.signals import Received, Send
 from monsoonmill.messages import Loan, LoanRequest, LoanReturn
 
 ASK_LENDER_EVERY_S = 0.2
--- a/src/monsoonmill/decisions/quota_held.py
+++ b/src/monsoonmill/decisions/quota/held.py
@@ -5,21 +5,18 @@
 
 from attrs import define, field
 
-from monsoonmill.decisions.held_tokens import HeldTokens
-from monsoonmill.decisions.quota_parking import ParkingQuota, QuotaParts, QuotaTimer
-from monsoonmill.decisions.rendezvous import first_member
-from monsoonmill.decisions.signals import (
-    ConfigChanged,
-    Received,
-    Send,
-)
-from monsoonmill.decisions.token_bucket import TokenBucket
-from monsoonmill.decisions.token_requests import (
+from monsoonmill.decisions.configuration.signals import ConfigChanged
+from monsoonmill.decisions.members.rendezvous import first_member
+from monsoonmill.decisions.quota.held_tokens import HeldTokens
+from monsoonmill.decisions.quota.parking import ParkingQuota, QuotaParts, QuotaTimer
+from monsoonmill.decisions.quota.token_bucket import TokenBucket
+from monsoonmill.decisions.quota.token_requests import (
     LapseTimer,
     RequestingDemand,
     RestTimer,
     SilenceTimer,
 )
+from monsoonmill.decisions.signals import Received, Send
 from monsoonmill.messages import TokenGrant, TokenRequest, TokenReturn
 from monsoonmill.model import MemberState, Organisation
 
--- a/src/monsoonmill/decisions/held_tokens.py
+++ b/src/monsoonmill/decisions/quota/held_tokens.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from monsoonmill.decisions.token_bucket import TokenBucket
+from monsoonmill.decisions.quota.token_bucket import TokenBucket
 from monsoonmill.model import Organisation
 
 MAX_GRANTS = 4096
--- a/src/monsoonmill/decisions/loans.py
+++ b/src/monsoonmill/decisions/quota/loans.py
@@ -7,8 +7,8 @@
 from attrs import define, frozen
 
 from monsoonmill.chart import ChartInstance, bind_methods
-from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN, SliceTable
-from monsoonmill.decisions.token_bucket import TokenBucket
+from monsoonmill.decisions.quota.slices import CLOCK_RATE_MARGIN, SliceTable
+from monsoonmill.decisions.quota.token_bucket import TokenBucket
 from monsoonmill.messages import Loan, LoanReturn
 from monsoonmill.model import Organisation
 from monsoonmill.settings import QuotaSettings
--- a/src/monsoonmill/decisions/quota_parking.py
+++ b/src/monsoonmill/decisions/quota/parking.py
@@ -7,19 +7,14 @@
 from attrs import define, field, frozen
 
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.configuration import ConfigView
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.quota import Quota
-from monsoonmill.decisions.signals import (
-    ConfigChanged,
-    MembersChanged,
-    SelfLeaving,
-    TokenDenied,
-    TokenGiven,
-    TokenWanted,
-)
+from monsoonmill.decisions.configuration.configuration import ConfigView
+from monsoonmill.decisions.configuration.signals import ConfigChanged
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.signals import MembersChanged, SelfLeaving
+from monsoonmill.decisions.quota.quota import Quota
+from monsoonmill.decisions.quota.signals import TokenDenied, TokenGiven, TokenWanted
+from monsoonmill.decisions.quota.token_bucket import RateEstimate
 from monsoonmill.decisions.timers import Timers
-from monsoonmill.decisions.token_bucket import RateEstimate
 from monsoonmill.settings import QuotaSettings
 
 MAX_PARKED = 4096
--- a/src/monsoonmill/decisions/quota.py
+++ b/src/monsoonmill/decisions/quota/quota.py
@@ -3,7 +3,7 @@
 from abc import abstractmethod
 
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.signals import TokenGiven, TokenWanted
+from monsoonmill.decisions.quota.signals import TokenGiven, TokenWanted
 
 
 class Quota(Decision):
--- a/src/monsoonmill/decisions/quota_replicated.py
+++ b/src/monsoonmill/decisions/quota/replicated.py
@@ -8,25 +8,24 @@
 capacity and adds none.
 
 The messages grow with the square of the fleet's size, so this suits fleets of
-up to a few hundred nodes; larger ones lend tokens (see quota_escrow).
+up to a few hundred nodes; larger ones lend tokens (see escrow.py).
 """
 
 from collections.abc import Iterator
 
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.configuration import ConfigView
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.quota import Quota
-from monsoonmill.decisions.quota_bucket import Bucket, ParkedCall, Reporter
-from monsoonmill.decisions.signals import (
-    ConfigChanged,
-    Received,
-    Send,
+from monsoonmill.decisions.configuration.configuration import ConfigView
+from monsoonmill.decisions.configuration.signals import ConfigChanged
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.quota.bucket import Bucket, ParkedCall, Reporter
+from monsoonmill.decisions.quota.quota import Quota
+from monsoonmill.decisions.quota.signals import (
     TokenDenied,
     TokenGiven,
     TokenReturned,
     TokenWanted,
 )
+from monsoonmill.decisions.signals import Received, Send
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.messages import QuotaReport
 from monsoonmill.model import MemberState, Organisation
--- a/src/monsoonmill/decisions/quota_sliced.py
+++ b/src/monsoonmill/decisions/quota/sliced.py
@@ -1,9 +1,9 @@
 """Base of the variants in which nodes own slices of all rates."""
 
-from monsoonmill.decisions.loans import OwnRates
-from monsoonmill.decisions.quota_parking import ParkingQuota, QuotaParts
+from monsoonmill.decisions.quota.loans import OwnRates
+from monsoonmill.decisions.quota.parking import ParkingQuota, QuotaParts
+from monsoonmill.decisions.quota.slices import SliceTable
 from monsoonmill.decisions.signals import PlatformDone, PlatformFailed
-from monsoonmill.decisions.slices import SliceTable
 
 
 class SlicedQuota(ParkingQuota):
--- a/src/monsoonmill/decisions/slices.py
+++ b/src/monsoonmill/decisions/quota/slices.py
@@ -10,7 +10,14 @@
 from math import ceil
 from random import Random
 
-from monsoonmill.decisions.membership import Membership
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.quota.slice_state import (
+    PREFIX,
+    RETRY_S,
+    SLICE_CHART,
+    Slice,
+    SliceRecord,
+)
 from monsoonmill.decisions.signals import (
     PlatformDone,
     PlatformFailed,
@@ -19,13 +26,6 @@
     PlatformSwap,
     StoredValue,
 )
-from monsoonmill.decisions.slice_state import (
-    PREFIX,
-    RETRY_S,
-    SLICE_CHART,
-    Slice,
-    SliceRecord,
-)
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import PlatformConflictError
 from monsoonmill.model import MemberState
--- a/src/monsoonmill/decisions/token_requests.py
+++ b/src/monsoonmill/decisions/quota/token_requests.py
@@ -6,11 +6,11 @@
 
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.quota_parking import Demand, QuotaTimer
+from monsoonmill.decisions.quota.parking import Demand, QuotaTimer
+from monsoonmill.decisions.quota.slices import CLOCK_RATE_MARGIN
+from monsoonmill.decisions.quota.token_bucket import RateEstimate
 from monsoonmill.decisions.signals import Send
-from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN
 from monsoonmill.decisions.timers import Timers
-from monsoonmill.decisions.token_bucket import RateEstimate
 from monsoonmill.messages import TokenGrant, TokenRequest, TokenReturn
 from monsoonmill.settings import QuotaSettings
 
--- a/src/monsoonmill/decisions/quota_variants.py
+++ b/src/monsoonmill/decisions/quota/variants.py
@@ -2,17 +2,17 @@
 
 from attrs import define
 
-from monsoonmill.decisions.held_tokens import HeldLoan
-from monsoonmill.decisions.quota_held import HeldOrganisation, HeldQuota
-from monsoonmill.decisions.quota_parking import QuotaParts
-from monsoonmill.decisions.quota_sliced import SlicedQuota
+from monsoonmill.decisions.quota.held import HeldOrganisation, HeldQuota
+from monsoonmill.decisions.quota.held_tokens import HeldLoan
+from monsoonmill.decisions.quota.parking import QuotaParts
+from monsoonmill.decisions.quota.sliced import SlicedQuota
+from monsoonmill.decisions.quota.slices import CLOCK_RATE_MARGIN
 from monsoonmill.decisions.signals import (
     PlatformDone,
     PlatformFailed,
     PlatformLease,
     PlatformSwap,
 )
-from monsoonmill.decisions.slices import CLOCK_RATE_MARGIN
 
 HOLDER_PREFIX = "token-holders/"
 HOLDER_LEASE_S = 10.0
--- /dev/null
+++ b/src/monsoonmill/decisions/retries/__init__.py
@@ -0,0 +1,1 @@
+"""What may be tried again."""
--- /dev/null
+++ b/src/monsoonmill/decisions/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which node runs a call."""
--- a/src/monsoonmill/decisions/routing.py
+++ b/src/monsoonmill/decisions/routing/routing.py
@@ -11,9 +11,10 @@
 from attrs import define
 
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.health import Health
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.signals import MembersChanged, PeerDown
+from monsoonmill.decisions.health.health import Health
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.signals import MembersChanged
+from monsoonmill.decisions.signals import PeerDown
 from monsoonmill.messages import Load
 from monsoonmill.model import Member, MemberState
 from monsoonmill.reasons import Importance
--- a/src/monsoonmill/http1/client.py
+++ b/src/monsoonmill/http1/client.py
@@ -6,7 +6,12 @@
 from socket import IPPROTO_TCP, SO_ERROR, SOL_SOCKET, TCP_NODELAY, socket
 
 from monsoonmill.chart import bind_methods
-from monsoonmill.decisions.signals import AbortRun, RunCall, RunFailure, RunFinished
+from monsoonmill.decisions.calls.signals import (
+    AbortRun,
+    RunCall,
+    RunFailure,
+    RunFinished,
+)
 from monsoonmill.errors import ProtocolError
 from monsoonmill.eventlog import get_logger
 from monsoonmill.http1.messages import ConnectionLimits
--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -7,7 +7,7 @@
 from socket import IPPROTO_TCP, TCP_NODELAY, create_server, socket
 
 from monsoonmill.chart import bind_methods
-from monsoonmill.decisions.signals import Answer, CallerGone
+from monsoonmill.decisions.calls.signals import Answer, CallerGone
 from monsoonmill.errors import BadMessageError, MessageTooLargeError, SettingsError
 from monsoonmill.eventlog import get_logger, request_log
 from monsoonmill.http1.messages import ConnectionLimits, encode_response
--- a/src/monsoonmill/load/overload_nodes.py
+++ b/src/monsoonmill/load/overload_nodes.py
@@ -5,19 +5,19 @@
 
 from attrs import define, field
 
-from monsoonmill.decisions.admission import Admission
-from monsoonmill.decisions.health import AllHealthy
-from monsoonmill.decisions.policies import make_admission
-from monsoonmill.decisions.retries import RetryLimiter
-from monsoonmill.decisions.routing import Router
-from monsoonmill.decisions.signals import (
+from monsoonmill.decisions.admission.admission import Admission
+from monsoonmill.decisions.admission.signals import (
     AdmitCall,
     Admitted,
-    BackendAnnounced,
     LeaveQueue,
     NotAdmitted,
     SlotReleased,
 )
+from monsoonmill.decisions.health.health import AllHealthy
+from monsoonmill.decisions.policies import make_admission
+from monsoonmill.decisions.retries.retries import RetryLimiter
+from monsoonmill.decisions.routing.routing import Router
+from monsoonmill.decisions.signals import BackendAnnounced
 from monsoonmill.load.overload_clients import Request
 from monsoonmill.load.overload_model import (
     EventQueue,
--- a/src/monsoonmill/node/admin.py
+++ b/src/monsoonmill/node/admin.py
@@ -5,8 +5,9 @@
 from cheroot.server import HTTPRequest
 
 from monsoonmill.codec import ConfigCodec
-from monsoonmill.decisions.configuration import ConfigView
-from monsoonmill.decisions.signals import DrainRequested, NoteAccepted
+from monsoonmill.decisions.configuration.configuration import ConfigView
+from monsoonmill.decisions.configuration.signals import NoteAccepted
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from monsoonmill.errors import NoteError, PlatformError, StaleNoteError
 from monsoonmill.node.desk import NoAnswerError, NodeDesk
 from monsoonmill.node.web import App, Problem, WebRequest, WebResponse
--- a/src/monsoonmill/node/decision_log.py
+++ b/src/monsoonmill/node/decision_log.py
@@ -4,12 +4,9 @@
 
 from monsoonmill.clock import Clock
 from monsoonmill.counters import LatencyHistogram
-from monsoonmill.decisions.signals import (
-    CallReport,
-    ConfigAdopted,
-    MemberChanged,
-    RunReport,
-)
+from monsoonmill.decisions.calls.signals import CallReport, RunReport
+from monsoonmill.decisions.configuration.signals import ConfigAdopted
+from monsoonmill.decisions.members.signals import MemberChanged
 from monsoonmill.eventlog import LineBudget, get_logger, request_log
 from monsoonmill.reasons import Outcome
 from monsoonmill.settings import NodeSettings
--- a/src/monsoonmill/node/desk.py
+++ b/src/monsoonmill/node/desk.py
@@ -2,13 +2,9 @@
 
 from itertools import count
 
-from monsoonmill.decisions.signals import (
-    Answer,
-    CallArrived,
-    CallerGone,
-    NoteSubmitted,
-    StatusWanted,
-)
+from monsoonmill.decisions.calls.signals import Answer, CallArrived, CallerGone
+from monsoonmill.decisions.configuration.signals import NoteSubmitted
+from monsoonmill.decisions.lifecycle.signals import StatusWanted
 from monsoonmill.errors import MonsoonError
 from monsoonmill.node.task import Ask, Ended, NodeTask
 from monsoonmill.notes import ReleaseNote
--- a/src/monsoonmill/node/egress.py
+++ b/src/monsoonmill/node/egress.py
@@ -10,7 +10,7 @@
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from monsoonmill.clock import Clock
-from monsoonmill.decisions.signals import RunCall, RunFailure, RunFinished
+from monsoonmill.decisions.calls.signals import RunCall, RunFailure, RunFinished
 from monsoonmill.errors import MonsoonError
 from monsoonmill.model import Address, HttpResponse
 from monsoonmill.node.headers import OUTCOME, forwarded_headers, kept_headers
--- a/src/monsoonmill/node/ingress.py
+++ b/src/monsoonmill/node/ingress.py
@@ -7,7 +7,8 @@
 
 from cheroot.server import HTTPRequest
 
-from monsoonmill.decisions.signals import Answer, BackendAnnounced, CallArrived
+from monsoonmill.decisions.calls.signals import Answer, CallArrived
+from monsoonmill.decisions.signals import BackendAnnounced
 from monsoonmill.errors import UserError
 from monsoonmill.model import HttpRequest
 from monsoonmill.node.desk import NodeDesk
--- a/src/monsoonmill/node/operators.py
+++ b/src/monsoonmill/node/operators.py
@@ -5,8 +5,9 @@
 
 from monsoonmill.codec_json import JsonConfigCodec
 from monsoonmill.counters import LatencyHistogram
+from monsoonmill.decisions.calls.signals import Answer
 from monsoonmill.decisions.core import NodeCore
-from monsoonmill.decisions.signals import Answer, DrainRequested
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from monsoonmill.http1.server import WebApp
 from monsoonmill.model import HttpRequest, HttpResponse
 
--- a/src/monsoonmill/node/peers.py
+++ b/src/monsoonmill/node/peers.py
@@ -9,12 +9,7 @@
 
 from monsoonmill.codec import Codec
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.signals import (
-    PeerDown,
-    PeerUnreachable,
-    PeerUp,
-    Received,
-)
+from monsoonmill.decisions.signals import PeerDown, PeerUnreachable, PeerUp, Received
 from monsoonmill.errors import ProtocolError, TruncatedFrameError
 from monsoonmill.eventlog import get_logger
 from monsoonmill.messages import Hello
--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -8,7 +8,7 @@
 from monsoonmill.codec_json import JsonConfigCodec
 from monsoonmill.codec_msgpack import MsgpackCodec
 from monsoonmill.decisions.core import NodeCore
-from monsoonmill.decisions.signals import DrainRequested
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from monsoonmill.errors import SettingsError
 from monsoonmill.eventlog import get_logger, request_log
 from monsoonmill.logs import set_up_logs
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -10,24 +10,19 @@
 from monsoonmill.clock import Clock
 from monsoonmill.codec import Codec
 from monsoonmill.counters import LatencyHistogram
+from monsoonmill.decisions.calls.signals import AbortRun, Answer, RunCall
+from monsoonmill.decisions.configuration.signals import NoteAccepted, NoteRefused
 from monsoonmill.decisions.core import NodeCore
+from monsoonmill.decisions.lifecycle.signals import Drained, Ready, StatusReport
 from monsoonmill.decisions.signals import (
-    AbortRun,
     AddressLearned,
-    Answer,
     Connect,
-    Drained,
-    NoteAccepted,
-    NoteRefused,
     PlatformLease,
     PlatformList,
     PlatformRead,
     PlatformSwap,
     PlatformWatch,
-    Ready,
-    RunCall,
     Send,
-    StatusReport,
 )
 from monsoonmill.errors import MonsoonError
 from monsoonmill.eventlog import get_logger
--- a/src/monsoonmill/platform/backend.py
+++ b/src/monsoonmill/platform/backend.py
@@ -1,6 +1,6 @@
 """Requests to the own backend server, and what its responses mean."""
 
-from monsoonmill.decisions.signals import RunCall
+from monsoonmill.decisions.calls.signals import RunCall
 from monsoonmill.http1.client import BackendProtocol, Verdict
 from monsoonmill.http1.messages import encode_request
 from monsoonmill.model import OPEN_ORGANISATION, HttpResponse
--- a/src/monsoonmill/platform/callers.py
+++ b/src/monsoonmill/platform/callers.py
@@ -1,6 +1,6 @@
 """Requests of callers, and the answers that they get."""
 
-from monsoonmill.decisions.signals import Answer, CallArrived
+from monsoonmill.decisions.calls.signals import Answer, CallArrived
 from monsoonmill.http1.server import WebApp
 from monsoonmill.model import HttpRequest, HttpResponse
 from monsoonmill.platform.names import (
--- a/src/monsoonmill/platform/heartbeats.py
+++ b/src/monsoonmill/platform/heartbeats.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable
 from json import loads
 
-from monsoonmill.decisions.signals import Answer, BackendHeartbeat, BackendLeaves
+from monsoonmill.decisions.calls.signals import Answer
+from monsoonmill.decisions.lifecycle.signals import BackendHeartbeat
+from monsoonmill.decisions.signals import BackendLeaves
 from monsoonmill.errors import MalformedMessageError
 from monsoonmill.eventlog import get_logger
 from monsoonmill.http1.server import WebApp
--- a/src/monsoonmill/platform/program.py
+++ b/src/monsoonmill/platform/program.py
@@ -11,7 +11,7 @@
 from monsoonmill.codec_msgpack import MsgpackCodec
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.core import NodeCore
-from monsoonmill.decisions.signals import DrainRequested
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from monsoonmill.errors import USER_ERROR_STATUS, UserError
 from monsoonmill.eventlog import get_logger, request_log
 from monsoonmill.http1.client import BackendPool
--- a/src/monsoonmill/platform/ready.py
+++ b/src/monsoonmill/platform/ready.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from monsoonmill.decisions.signals import Answer
+from monsoonmill.decisions.calls.signals import Answer
 from monsoonmill.http1.server import WebApp
 from monsoonmill.model import HttpRequest, HttpResponse
 
--- a/src/monsoonmill/platform/store_client.py
+++ b/src/monsoonmill/platform/store_client.py
@@ -8,7 +8,7 @@
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
 from urllib3.exceptions import HTTPError
 
-from monsoonmill.decisions.pending_note import CONFIG_KEY
+from monsoonmill.decisions.configuration.pending_note import CONFIG_KEY
 from monsoonmill.decisions.signals import StoredValue
 from monsoonmill.errors import (
     PlatformConflictError,
--- a/src/monsoonmill/standin/kv_store.py
+++ b/src/monsoonmill/standin/kv_store.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field, frozen
 
-from monsoonmill.decisions.signals import Answer
+from monsoonmill.decisions.calls.signals import Answer
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.http1.server import WebApp
 from monsoonmill.model import HttpRequest, HttpResponse
--- a/tests/admission_oracle.py
+++ b/tests/admission_oracle.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from math import ceil
 
-from monsoonmill.decisions.signals import (
+from monsoonmill.decisions.admission.signals import (
     AdmitCall,
     Admitted,
     LeaveQueue,
--- a/tests/chains.py
+++ b/tests/chains.py
@@ -2,7 +2,12 @@
 
 from itertools import count
 
-from monsoonmill.decisions import signals
+from monsoonmill.decisions.calls.signals import (
+    Answer,
+    CallArrived,
+    RunFailure,
+    RunFinished,
+)
 from monsoonmill.model import HttpRequest, HttpResponse
 from monsoonmill.reasons import Outcome
 from tests.configs import SECRET, small_config
@@ -59,23 +64,23 @@
 
     def _leaf(self, call):
         end = self.leaf_end(call)
-        if isinstance(end, signals.RunFailure):
-            return 0.001, signals.RunFinished(call.attempt, None, end)
-        return 0.001, signals.RunFinished(call.attempt, end, None, end is NOT_RUN)
+        if isinstance(end, RunFailure):
+            return 0.001, RunFinished(call.attempt, None, end)
+        return 0.001, RunFinished(call.attempt, end, None, end is NOT_RUN)
 
     def _call_down(self, node, call, level):
         name = f"nested-{next(self._names)}"
         self._parents[name] = (node, call)
         self.calls += 1
         request = HttpRequest("GET", f"/lookup/{level}")
-        arrived = signals.CallArrived(name, "donkeys", request, context=call.context)
+        arrived = CallArrived(name, "donkeys", request, context=call.context)
         self.give(node, arrived)
 
     def _carry_out(self, node, signal):
         super()._carry_out(node, signal)
-        if isinstance(signal, signals.Answer) and signal.call in self._parents:
+        if isinstance(signal, Answer) and signal.call in self._parents:
             parent_node, call = self._parents.pop(signal.call)
             self._pending[call.attempt] -= 1
             if not self._pending[call.attempt]:
-                finished = signals.RunFinished(call.attempt, NOT_RUN, None, True)
+                finished = RunFinished(call.attempt, NOT_RUN, None, True)
                 self._later(0.001, lambda: self.give(parent_node, finished))
--- a/tests/claims_fleet.py
+++ b/tests/claims_fleet.py
@@ -4,13 +4,9 @@
 
 from attrs import frozen
 
-from monsoonmill.decisions.claims_paired import PairedClaims
-from monsoonmill.decisions.signals import (
-    Answer,
-    DrainRequested,
-    RunFailure,
-    RunFinished,
-)
+from monsoonmill.decisions.calls.signals import Answer, RunFailure, RunFinished
+from monsoonmill.decisions.claims.paired import PairedClaims
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from monsoonmill.model import HttpResponse
 from monsoonmill.reasons import Outcome
 from tests.configs import SECRET, small_config
--- a/tests/claims_machine.py
+++ b/tests/claims_machine.py
@@ -3,7 +3,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from monsoonmill.decisions.signals import DrainRequested, RunFailure
+from monsoonmill.decisions.calls.signals import RunFailure
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from tests.claims_fleet import ClaimsFleet
 
 MAX_NODES = 7
--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 
-from monsoonmill.decisions.signals import RunFailure, RunFinished
+from monsoonmill.decisions.calls.signals import RunFailure, RunFinished
 from monsoonmill.model import HttpResponse
 
 POISON = b"poison"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,8 +9,33 @@
 from random import Random
 
 from monsoonmill.codec_json import JsonConfigCodec
-from monsoonmill.decisions import signals
+from monsoonmill.decisions.calls.signals import (
+    AbortRun,
+    Answer,
+    CallArrived,
+    RunCall,
+    RunFailure,
+    RunFinished,
+)
 from monsoonmill.decisions.core import NodeCore
+from monsoonmill.decisions.lifecycle.signals import Drained
+from monsoonmill.decisions.signals import (
+    BackendAnnounced,
+    Connect,
+    PeerDown,
+    PeerUnreachable,
+    PeerUp,
+    PlatformDone,
+    PlatformFailed,
+    PlatformLease,
+    PlatformList,
+    PlatformRead,
+    PlatformSwap,
+    PlatformWatch,
+    Received,
+    Send,
+    StoredValue,
+)
 from monsoonmill.errors import PlatformError, PlatformUnavailableError
 from monsoonmill.model import Address, Config, HttpRequest, HttpResponse
 from monsoonmill.settings import Settings
@@ -19,11 +44,11 @@
 LATENCY_S = 0.001
 WATCH_S = 10.0
 PLATFORM_CALLS = (
-    signals.PlatformRead,
-    signals.PlatformSwap,
-    signals.PlatformLease,
-    signals.PlatformList,
-    signals.PlatformWatch,
+    PlatformRead,
+    PlatformSwap,
+    PlatformLease,
+    PlatformList,
+    PlatformWatch,
 )
 
 
@@ -45,31 +70,29 @@
         try:
             entries = self._entries(signal, now)
         except PlatformError as exc:
-            return signals.PlatformFailed(signal.request, exc)
-        if self.loses_answers and not isinstance(signal, signals.PlatformWatch):
+            return PlatformFailed(signal.request, exc)
+        if self.loses_answers and not isinstance(signal, PlatformWatch):
             return self._fail(signal, "answer lost")
-        values = tuple(
-            signals.StoredValue(one.key, one.version, one.value) for one in entries
-        )
-        return signals.PlatformDone(signal.request, values, now)
+        values = tuple(StoredValue(one.key, one.version, one.value) for one in entries)
+        return PlatformDone(signal.request, values, now)
 
     def refuse(self, signal):
         """Return the answer of a node that can't reach the platform."""
         return self._fail(signal, "out of reach")
 
     def _fail(self, signal, problem):
-        return signals.PlatformFailed(signal.request, PlatformUnavailableError(problem))
+        return PlatformFailed(signal.request, PlatformUnavailableError(problem))
 
     def _entries(self, signal, now):
         store = self.store
-        if isinstance(signal, signals.PlatformSwap):
+        if isinstance(signal, PlatformSwap):
             return [
                 store.swap(signal.key, signal.expected, signal.value, signal.lease, now)
             ]
-        if isinstance(signal, signals.PlatformLease):
+        if isinstance(signal, PlatformLease):
             store.grant(signal.lease, signal.ttl_s, now)
             return []
-        if isinstance(signal, signals.PlatformList):
+        if isinstance(signal, PlatformList):
             return list(store.list_keys(signal.prefix, now))
         return [store.read(signal.key, now)]
 
@@ -84,7 +107,7 @@
         self.is_paused = False
         self.backend_gone = False
         self.missed: list[object] = []
-        self.answers: dict[str, signals.Answer] = {}
+        self.answers: dict[str, Answer] = {}
         self.reports: dict[str, object] = {}
         self.drained = False
 
@@ -108,7 +131,7 @@
         self.platform = FakePlatform()
         self.nodes: dict[str, FakeNode] = {}
         self.sections = sections
-        self.executed: list[tuple[str, signals.RunCall]] = []
+        self.executed: list[tuple[str, RunCall]] = []
         self.cut: set[frozenset] = set()
         self.hides_platform_from: set[str] = set()
         self.latency_s = LATENCY_S
@@ -152,7 +175,7 @@
         """Let the backend server announce itself, again and again."""
         if not node.is_up or node.backend_gone:
             return
-        announced = signals.BackendAnnounced(
+        announced = BackendAnnounced(
             service, Address("127.0.0.1", node.address.port + 1000), slots, draining
         )
         self.give(node, announced)
@@ -165,7 +188,7 @@
         for other in list(self.nodes.values()):
             self._later(
                 self.latency_s,
-                lambda other=other: self.give(other, signals.PeerDown(node.name)),
+                lambda other=other: self.give(other, PeerDown(node.name)),
             )
 
     def restart(self, node, **options):
@@ -192,7 +215,7 @@
         name = f"call-{next(self._numbers)}"
         body = fields.pop("body", b"")
         req = HttpRequest(method, path, (), body)
-        self.give(node, signals.CallArrived(name, service, req, **fields))
+        self.give(node, CallArrived(name, service, req, **fields))
         return name
 
     def give(self, node, signal):
@@ -253,23 +276,21 @@
             heappush(self._dues, (due, next(self._numbers), node))
 
     def _carry_out(self, node, signal):
-        if isinstance(signal, signals.Send):
+        if isinstance(signal, Send):
             self._send(node, signal)
-        elif isinstance(signal, signals.Connect):
+        elif isinstance(signal, Connect):
             self._later(self.latency_s, lambda: self._connect(node, signal.address))
-        elif isinstance(signal, signals.Answer):
+        elif isinstance(signal, Answer):
             node.answers[signal.call] = signal
-        elif isinstance(signal, signals.RunCall):
+        elif isinstance(signal, RunCall):
             self._run_call(node, signal)
-        elif isinstance(signal, signals.AbortRun):
-            aborted = signals.RunFinished(
-                signal.attempt, None, signals.RunFailure.ABORTED
-            )
+        elif isinstance(signal, AbortRun):
+            aborted = RunFinished(signal.attempt, None, RunFailure.ABORTED)
             self._later(LATENCY_S, lambda: self.give(node, aborted))
         elif isinstance(signal, PLATFORM_CALLS):
             delay_s = self.platform.delay_s
             self._later(delay_s, lambda: self._call_platform(node, signal, WATCH_S))
-        elif isinstance(signal, signals.Drained):
+        elif isinstance(signal, Drained):
             node.drained = True
         elif hasattr(signal, "request"):
             node.reports[signal.request] = signal
@@ -277,10 +298,10 @@
     def _send(self, node, signal):
         other = self.nodes.get(signal.node)
         if other is None:
-            lost = signals.PeerUnreachable(signal.node, signal.message)
+            lost = PeerUnreachable(signal.node, signal.message)
             self._later(self.latency_s, lambda: self.give(node, lost))
             return
-        received = signals.Received(node.name, self.damage(signal.message))
+        received = Received(node.name, self.damage(signal.message))
         self._later(self.latency_s, lambda: self._deliver(node, other, received))
 
     def _deliver(self, node, other, received):
@@ -297,7 +318,7 @@
 
     def _greet(self, node, other):
         own = other.core.members.own
-        up = signals.PeerUp(own.node, own.incarnation, own.address)
+        up = PeerUp(own.node, own.incarnation, own.address)
         self.give(node, up)
 
     def _run_call(self, node, call):
@@ -308,12 +329,12 @@
             self._later(delay_s, lambda: self.give(node, finished))
 
     def _call_platform(self, node, signal, wait_s):
-        is_watch = isinstance(signal, signals.PlatformWatch)
+        is_watch = isinstance(signal, PlatformWatch)
         if node.name in self.hides_platform_from:
             answer = self.platform.refuse(signal)
         else:
             answer = self.platform.perform(signal, self.now)
-        if is_watch and isinstance(answer, signals.PlatformDone):
+        if is_watch and isinstance(answer, PlatformDone):
             if answer.values[0].version <= signal.after:
                 if wait_s > 0:
                     self.platform.calls -= 1
@@ -321,11 +342,11 @@
                         0.05, lambda: self._call_platform(node, signal, wait_s - 0.05)
                     )
                     return
-                answer = signals.PlatformDone(signal.request, (), self.now)
+                answer = PlatformDone(signal.request, (), self.now)
         self._later(LATENCY_S, lambda: self.give(node, answer))
 
 
 def answer_ok(node, call, delay_s=0.01):
     """Return the end of a request that goes well."""
     response = HttpResponse(200, (), b"ok " + call.request.path.encode())
-    return delay_s, signals.RunFinished(call.attempt, response, None)
+    return delay_s, RunFinished(call.attempt, response, None)
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -5,7 +5,7 @@
 
 from attrs import evolve
 
-from monsoonmill.decisions.signals import TokenDenied, TokenGiven, TokenWanted
+from monsoonmill.decisions.quota.signals import TokenDenied, TokenGiven, TokenWanted
 from monsoonmill.model import Config, Organisation
 from tests.fleet import FakeFleet
 
--- a/tests/quota_trial.py
+++ b/tests/quota_trial.py
@@ -11,7 +11,7 @@
 from fire import Fire
 
 from monsoonmill.codec_msgpack import MsgpackCodec
-from monsoonmill.decisions.rendezvous import first_member
+from monsoonmill.decisions.members.rendezvous import first_member
 from monsoonmill.messages import (
     PEER_MESSAGES,
     Loan,
--- a/tests/test_admission_fuzz.py
+++ b/tests/test_admission_fuzz.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from monsoonmill.decisions.admission_queued import QueuedAdmission
+from monsoonmill.decisions.admission.queued import QueuedAdmission
 from monsoonmill.reasons import Importance
 from monsoonmill.settings import Settings
 from tests.admission_oracle import AdmissionOracle
--- a/tests/test_admission_limit.py
+++ b/tests/test_admission_limit.py
@@ -1,7 +1,11 @@
 """How the concurrency limit follows the measured delay."""
 
-from monsoonmill.decisions.concurrency_limit import AdaptiveLimit, RunEnd, RunSample
-from monsoonmill.decisions.route_latency import RouteLatencies
+from monsoonmill.decisions.admission.concurrency_limit import (
+    AdaptiveLimit,
+    RunEnd,
+    RunSample,
+)
+from monsoonmill.decisions.admission.route_latency import RouteLatencies
 from monsoonmill.settings import Settings
 
 CFG = Settings.from_dict({}).admission
--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -2,8 +2,8 @@
 
 from collections import Counter
 
-from monsoonmill.decisions.admission_queued import QueuedAdmission
-from monsoonmill.decisions.fair_queue import FairQueue, QueuedCall
+from monsoonmill.decisions.admission.fair_queue import FairQueue, QueuedCall
+from monsoonmill.decisions.admission.queued import QueuedAdmission
 from monsoonmill.reasons import Importance, Reason
 from monsoonmill.settings import Settings
 from tests.admission_oracle import AdmissionOracle
--- a/tests/test_backend_identity.py
+++ b/tests/test_backend_identity.py
@@ -1,7 +1,8 @@
 """Which process of the own backend server counts."""
 
-from monsoonmill.decisions.backend_identity import BackendIdentity
-from monsoonmill.decisions.signals import BackendHeartbeat, BackendLeaves
+from monsoonmill.decisions.lifecycle.backend_identity import BackendIdentity
+from monsoonmill.decisions.lifecycle.signals import BackendHeartbeat
+from monsoonmill.decisions.signals import BackendLeaves
 from monsoonmill.model import Address
 
 ADDRESS = Address("10.0.0.1", 8080)
--- a/tests/test_claims_paired.py
+++ b/tests/test_claims_paired.py
@@ -2,12 +2,9 @@
 
 from attrs import evolve
 
-from monsoonmill.decisions.signals import (
-    CallerGone,
-    DrainRequested,
-    Received,
-    RunFailure,
-)
+from monsoonmill.decisions.calls.signals import CallerGone, RunFailure
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
+from monsoonmill.decisions.signals import Received
 from monsoonmill.messages import Forward
 from monsoonmill.model import HttpRequest
 from monsoonmill.reasons import Importance, Outcome, Reason
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -9,8 +9,9 @@
 from monsoonmill.codec_json import JsonConfigCodec
 from monsoonmill.counters import Counters
 from monsoonmill.ctl import Monsoonctl
-from monsoonmill.decisions.configuration import ConfigView
-from monsoonmill.decisions.signals import DrainRequested, NoteAccepted, NoteRefused
+from monsoonmill.decisions.configuration.configuration import ConfigView
+from monsoonmill.decisions.configuration.signals import NoteAccepted, NoteRefused
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from monsoonmill.errors import UserError
 from monsoonmill.node.admin import AdminApp
 from monsoonmill.node.web import AppServer
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -5,7 +5,7 @@
 from threading import Thread
 
 from monsoonmill.clock import SystemClock
-from monsoonmill.decisions.signals import Answer, RunCall, RunFailure
+from monsoonmill.decisions.calls.signals import Answer, RunCall, RunFailure
 from monsoonmill.model import Address, HttpRequest
 from monsoonmill.node.egress import RunPool
 from monsoonmill.node.ingress import render_answer
--- a/tests/test_entry_limit.py
+++ b/tests/test_entry_limit.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from monsoonmill.decisions import signals
-from monsoonmill.decisions.chain_strain import ChainStrain, lost_to_overload
-from monsoonmill.decisions.entry_limit import AdaptiveEntryLimit
+from monsoonmill.decisions.admission.chain_strain import ChainStrain, lost_to_overload
+from monsoonmill.decisions.admission.entry_limit import AdaptiveEntryLimit
+from monsoonmill.decisions.calls.signals import Answer, CallArrived, RunFinished
 from monsoonmill.errors import RefusedError
 from monsoonmill.model import (
     Config,
@@ -101,11 +101,11 @@
 
     def _run_one(self, node, call):
         if self.fails(call):
-            return 0.01, signals.RunFinished(call.attempt, FAILED, None)
+            return 0.01, RunFinished(call.attempt, FAILED, None)
         if not call.request.path.startswith(("/view", "/pledge")):
             if self.stalls(call):
                 return None
-            return LEAF_S, signals.RunFinished(
+            return LEAF_S, RunFinished(
                 call.attempt, self.leaf_answer, None, self.leaf_answer is SHED
             )
         self._look_up(node, call, STEPS)
@@ -114,7 +114,7 @@
     def _look_up(self, node, call, left):
         name = f"nested-{next(self._numbers)}"
         self.parents[name] = (node, call, left)
-        arrived = signals.CallArrived(
+        arrived = CallArrived(
             name,
             "stock",
             HttpRequest("GET", f"/{name}"),
@@ -125,13 +125,13 @@
 
     def _carry_out(self, node, signal):
         super()._carry_out(node, signal)
-        if isinstance(signal, signals.Answer) and signal.call in self.parents:
+        if isinstance(signal, Answer) and signal.call in self.parents:
             node, call, left = self.parents.pop(signal.call)
             if signal.outcome is not Outcome.DONE:
-                finished = signals.RunFinished(call.attempt, FAILED, None)
+                finished = RunFinished(call.attempt, FAILED, None)
                 self._later(0.001, lambda: self.give(node, finished))
             elif left == 1:
-                finished = signals.RunFinished(call.attempt, OK, None)
+                finished = RunFinished(call.attempt, OK, None)
                 self._later(0.001, lambda: self.give(node, finished))
             else:
                 self._look_up(node, call, left - 1)
--- a/tests/test_front_door.py
+++ b/tests/test_front_door.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from monsoonmill.decisions.front_door import ThreadDoor
+from monsoonmill.decisions.admission.front_door import ThreadDoor
 from monsoonmill.errors import RefusedError
 from monsoonmill.reasons import Importance, Reason
 from monsoonmill.settings import Settings
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -4,13 +4,8 @@
 
 import pytest
 
-from monsoonmill.decisions.signals import (
-    AttemptObserved,
-    AttemptStarted,
-    CallerGone,
-    RunFailure,
-    RunFinished,
-)
+from monsoonmill.decisions.calls.signals import CallerGone, RunFailure, RunFinished
+from monsoonmill.decisions.health.signals import AttemptObserved, AttemptStarted
 from monsoonmill.reasons import Outcome, Reason
 from tests.configs import SECRET, small_config
 from tests.fleet import FakeFleet, answer_ok
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from monsoonmill.decisions.signals import (
+from monsoonmill.decisions.calls.signals import (
     AbortRun,
     Answer,
     CallArrived,
--- a/tests/test_import_direction.py
+++ b/tests/test_import_direction.py
@@ -73,3 +73,33 @@
 @pytest.mark.parametrize("module", ["node/web.py", "task.py", "codec_msgpack.py"])
 def test_the_check_finds_what_is_there(module):
     assert list(violations([PACKAGE / module]))
+
+
+def subject_of(path):
+    """Return the folder of a decision; None for what all of them share."""
+    folder = path.parent.name
+    return None if folder == "decisions" else folder
+
+
+def subjects():
+    """Return, by folder of decisions, the folders that it imports."""
+    graph = {}
+    for path in (PACKAGE / "decisions").rglob("*.py"):
+        found = (source_of(module) for module in imported(path))
+        others = (
+            subject_of(one)
+            for one in found
+            if one is not None and PACKAGE / "decisions" in one.parents
+        )
+        graph.setdefault(subject_of(path), set()).update(others)
+    graph.pop(None)
+    return {one: others - {one, None} for one, others in graph.items()}
+
+
+def test_no_subject_of_decisions_needs_itself_through_others():
+    left = subjects()
+    assert len(left) > 10
+    while left:
+        free = {one for one, others in left.items() if not others & left.keys()}
+        assert free, f"circle among {sorted(left)}"
+        left = {one: others for one, others in left.items() if one not in free}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,7 +2,8 @@
 
 from attrs import evolve
 
-from monsoonmill.decisions.signals import DrainRequested, Received
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
+from monsoonmill.decisions.signals import Received
 from monsoonmill.messages import MemberGossip
 from monsoonmill.model import MemberState
 from tests.configs import SECRET, small_config
--- a/tests/test_membership_fuzz.py
+++ b/tests/test_membership_fuzz.py
@@ -12,8 +12,8 @@
     run_state_machine_as_test,
 )
 
-from monsoonmill.decisions.member_entries import is_live, rank
-from monsoonmill.decisions.signals import DrainRequested
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
+from monsoonmill.decisions.members.entries import is_live, rank
 from monsoonmill.model import MemberState
 from tests.fleet import FakeFleet
 
--- a/tests/test_mutants_admission.py
+++ b/tests/test_mutants_admission.py
@@ -3,10 +3,10 @@
 import pytest
 from hypothesis import Phase
 
-from monsoonmill.decisions.admission_queued import QueuedAdmission
-from monsoonmill.decisions.call import Call
-from monsoonmill.decisions.contexts import ContextTable
-from monsoonmill.decisions.fair_queue import ClassQueue, FairQueue
+from monsoonmill.decisions.admission.fair_queue import ClassQueue, FairQueue
+from monsoonmill.decisions.admission.queued import QueuedAdmission
+from monsoonmill.decisions.calls.call import Call
+from monsoonmill.decisions.calls.contexts import ContextTable
 from monsoonmill.reasons import Importance
 from monsoonmill.settings import Settings
 from tests import test_admission_queue, test_retry_bound
--- a/tests/test_mutants_claims.py
+++ b/tests/test_mutants_claims.py
@@ -2,11 +2,12 @@
 
 import pytest
 
-from monsoonmill.decisions import claim_rules, claims_paired
-from monsoonmill.decisions.claim_home import ClaimHome
-from monsoonmill.decisions.claim_replication import Replica
-from monsoonmill.decisions.claims_paired import PairedClaims
-from monsoonmill.decisions.signals import RunFailure
+from monsoonmill.decisions.calls.signals import RunFailure
+from monsoonmill.decisions.claims import paired as claims_paired
+from monsoonmill.decisions.claims import rules as claim_rules
+from monsoonmill.decisions.claims.home import ClaimHome
+from monsoonmill.decisions.claims.paired import PairedClaims
+from monsoonmill.decisions.claims.replication import Replica
 from monsoonmill.reasons import Outcome
 from tests.claims_fleet import ClaimsFleet
 
--- a/tests/test_mutants_members.py
+++ b/tests/test_mutants_members.py
@@ -5,14 +5,16 @@
 from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from monsoonmill.decisions import configuration, core, failure_detection, policies
-from monsoonmill.decisions.configuration import ConfigRegister
-from monsoonmill.decisions.health_passive import PassiveHealth
-from monsoonmill.decisions.member_table import MemberTable
-from monsoonmill.decisions.membership import Membership
-from monsoonmill.decisions.pending_note import PendingNote
-from monsoonmill.decisions.poison_guard import FleetPoisonGuard
-from monsoonmill.decisions.signals import ConfigChanged
+from monsoonmill.decisions import core, policies
+from monsoonmill.decisions.configuration import configuration
+from monsoonmill.decisions.configuration.configuration import ConfigRegister
+from monsoonmill.decisions.configuration.pending_note import PendingNote
+from monsoonmill.decisions.configuration.signals import ConfigChanged
+from monsoonmill.decisions.health.passive import PassiveHealth
+from monsoonmill.decisions.members import failure_detection
+from monsoonmill.decisions.members.membership import Membership
+from monsoonmill.decisions.members.table import MemberTable
+from monsoonmill.decisions.poison.guard import FleetPoisonGuard
 from monsoonmill.notes import apply_note
 from tests import test_health, test_membership, test_poison, test_release_notes
 from tests.test_membership_fuzz import SETTINGS as MEMBERSHIP_SETTINGS
--- a/tests/test_mutants_quota.py
+++ b/tests/test_mutants_quota.py
@@ -3,10 +3,10 @@
 from attrs import evolve
 from pytest import mark, raises
 
-from monsoonmill.decisions import quota_escrow
-from monsoonmill.decisions.loans import OwnRates
-from monsoonmill.decisions.quota_escrow import EscrowQuota
-from monsoonmill.decisions.slices import SliceTable
+from monsoonmill.decisions.quota import escrow as quota_escrow
+from monsoonmill.decisions.quota.escrow import EscrowQuota
+from monsoonmill.decisions.quota.loans import OwnRates
+from monsoonmill.decisions.quota.slices import SliceTable
 from tests.quota_fleet import OverRateError, make_quota_fleet
 
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -2,8 +2,8 @@
 
 from random import Random
 
-from monsoonmill.decisions.health import AllHealthy
-from monsoonmill.decisions.routing import PlaceNearby, Router
+from monsoonmill.decisions.health.health import AllHealthy
+from monsoonmill.decisions.routing.routing import PlaceNearby, Router
 from monsoonmill.messages import Load
 from monsoonmill.model import Address, Member
 from monsoonmill.reasons import Importance
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -4,13 +4,9 @@
 
 import pytest
 
-from monsoonmill.decisions.signals import (
-    Answer,
-    BackendHeartbeat,
-    BackendLeaves,
-    CallArrived,
-    RunCall,
-)
+from monsoonmill.decisions.calls.signals import Answer, CallArrived, RunCall
+from monsoonmill.decisions.lifecycle.signals import BackendHeartbeat
+from monsoonmill.decisions.signals import BackendLeaves
 from monsoonmill.errors import MalformedMessageError, SettingsError
 from monsoonmill.http1.client import Verdict
 from monsoonmill.model import Address, HttpRequest, HttpResponse
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -5,14 +5,10 @@
 import pytest
 
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.crashes import RESTART_S, SAME_CRASH_S, CrashCounter
-from monsoonmill.decisions.signals import (
-    BackendCrashed,
-    CallerGone,
-    RunFailure,
-    RunFinished,
-)
-from monsoonmill.decisions.suspects import SuspectTable
+from monsoonmill.decisions.calls.signals import CallerGone, RunFailure, RunFinished
+from monsoonmill.decisions.poison.crashes import RESTART_S, SAME_CRASH_S, CrashCounter
+from monsoonmill.decisions.poison.signals import BackendCrashed
+from monsoonmill.decisions.poison.suspects import SuspectTable
 from monsoonmill.reasons import Outcome, Reason
 from monsoonmill.settings import PoisonSettings
 from tests.configs import SECRET, small_config
--- a/tests/test_quota_escrow.py
+++ b/tests/test_quota_escrow.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from monsoonmill.decisions.signals import DrainRequested
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from tests.quota_fleet import QuotaFleet, make_quota_fleet
 
 RATE = 20.0
--- a/tests/test_quota_fuzz.py
+++ b/tests/test_quota_fuzz.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 from hypothesis.strategies import integers, sampled_from
 
-from monsoonmill.decisions.signals import DrainRequested
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from tests.quota_fleet import FAST_TERMS, QuotaFleet
 
 EXAMPLES = int(environ.get("MONSOON_FUZZ_EXAMPLES", "32"))
--- a/tests/test_quota_replicated.py
+++ b/tests/test_quota_replicated.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from monsoonmill.decisions.signals import TokenReturned
+from monsoonmill.decisions.quota.signals import TokenReturned
 from tests.quota_fleet import QuotaFleet
 
 RATE, BURST = 80.0, 80.0
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -1,6 +1,6 @@
 """When a node that has just started takes calls."""
 
-from monsoonmill.decisions.signals import Ready
+from monsoonmill.decisions.lifecycle.signals import Ready
 from tests.configs import small_config
 from tests.fleet import FakeFleet
 
--- a/tests/test_readmission.py
+++ b/tests/test_readmission.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from monsoonmill.decisions.admission_queued import QueuedAdmission
-from monsoonmill.decisions.concurrency_limit import FixedLimit
-from monsoonmill.decisions.signals import RunFinished
+from monsoonmill.decisions.admission.concurrency_limit import FixedLimit
+from monsoonmill.decisions.admission.queued import QueuedAdmission
+from monsoonmill.decisions.calls.signals import RunFinished
 from monsoonmill.model import HttpResponse
 from monsoonmill.reasons import Importance, Outcome, Reason
 from monsoonmill.settings import Settings
--- a/tests/test_release_notes.py
+++ b/tests/test_release_notes.py
@@ -6,13 +6,13 @@
 
 from monsoonmill.codec_json import JsonConfigCodec
 from monsoonmill.config_delta import apply_delta, make_delta
-from monsoonmill.decisions import pending_note
-from monsoonmill.decisions.signals import (
+from monsoonmill.decisions.configuration import pending_note
+from monsoonmill.decisions.configuration.signals import (
     NoteAccepted,
     NoteRefused,
     NoteSubmitted,
-    Received,
 )
+from monsoonmill.decisions.signals import Received
 from monsoonmill.errors import (
     ConfigTooLargeError,
     NoteError,
--- a/tests/test_release_notes_fuzz.py
+++ b/tests/test_release_notes_fuzz.py
@@ -13,7 +13,7 @@
 )
 
 from monsoonmill.codec_json import JsonConfigCodec
-from monsoonmill.decisions.signals import NoteAccepted, NoteSubmitted
+from monsoonmill.decisions.configuration.signals import NoteAccepted, NoteSubmitted
 from monsoonmill.errors import PlatformUnavailableError, StaleNoteError
 from monsoonmill.model import Config
 from tests.fleet import FakeFleet
--- a/tests/test_retry_bound.py
+++ b/tests/test_retry_bound.py
@@ -1,7 +1,7 @@
 """Bounds on further tries, over the whole call chain and over many calls."""
 
-from monsoonmill.decisions.retries import RetryLimiter
-from monsoonmill.decisions.signals import RunFailure, RunFinished
+from monsoonmill.decisions.calls.signals import RunFailure, RunFinished
+from monsoonmill.decisions.retries.retries import RetryLimiter
 from monsoonmill.reasons import Outcome, Reason, RetryReason
 from monsoonmill.settings import Settings
 from tests.chains import NOT_RUN, ChainFleet
--- a/tests/test_token_return.py
+++ b/tests/test_token_return.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from monsoonmill.decisions.signals import RunFailure, RunFinished
+from monsoonmill.decisions.calls.signals import RunFailure, RunFinished
 from monsoonmill.reasons import Outcome, Reason
 from tests.configs import SECRET, small_config
 from tests.fleet import FakeFleet, answer_ok
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,7 +2,8 @@
 
 from attrs import evolve
 
-from monsoonmill.decisions.signals import DrainRequested, RunFailure, RunFinished
+from monsoonmill.decisions.calls.signals import RunFailure, RunFinished
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from monsoonmill.messages import Reply
 from monsoonmill.reasons import Outcome, Reason
 from tests.configs import SECRET, small_config
--- a/tests/trials/claims_trial.py
+++ b/tests/trials/claims_trial.py
@@ -10,13 +10,9 @@
 from fire import Fire
 
 from monsoonmill import claim_messages
-from monsoonmill.decisions.signals import (
-    Answer,
-    DrainRequested,
-    PlatformRead,
-    PlatformSwap,
-    Send,
-)
+from monsoonmill.decisions.calls.signals import Answer
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
+from monsoonmill.decisions.signals import PlatformRead, PlatformSwap, Send
 from monsoonmill.reasons import Outcome
 from tests.claims_fleet import ClaimsFleet
 
--- a/tests/trials/health.py
+++ b/tests/trials/health.py
@@ -3,7 +3,7 @@
 Run with ``python -m tests.trials.health``.
 """
 
-from monsoonmill.decisions.health_passive import PassiveHealth
+from monsoonmill.decisions.health.passive import PassiveHealth
 from tests.configs import SECRET, small_config
 from tests.fleet import FakeFleet, answer_ok
 
--- a/tests/trials/members.py
+++ b/tests/trials/members.py
@@ -8,7 +8,8 @@
 from time import process_time
 
 from monsoonmill.codec_msgpack import MsgpackCodec
-from monsoonmill.decisions.signals import DrainRequested, NoteSubmitted
+from monsoonmill.decisions.configuration.signals import NoteSubmitted
+from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from monsoonmill.messages import PEER_MESSAGES, MemberListRequest
 from monsoonmill.model import MemberState
 from tests.fleet import FakeFleet
