--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -24,8 +24,6 @@
 """Part of the longest wait that is left while the queue never empties."""
 RETRY_AFTER_S = 1.0
 """When another try of a refused call may succeed."""
-
-
 LONGEST_HOLD_S = 0.5
 """A slot whose attempt was shed by the backend server is held back this long."""
 
@@ -58,13 +56,16 @@
 
 @define
 class FullBackend:
-    """What a backend server held when it last said that it was full.
+    """How many attempts a backend server held when it last said that it was full.
+
+    Further ones would be shed too, also those that were shed and wait again.
 
     Attributes
     ----------
     held : int
-        Attempts that were there then; no more are sent until ``until``, since
-        they would be shed too, also those that were shed and wait again.
+        Attempts that were there then.
+    until : float
+        When it is tried with more again.
     """
 
     held: int = 0
@@ -176,8 +177,7 @@
     def _hold(self, released, route, now):
         """Hold a slot back for as long as an attempt would have run.
 
-        A backend server sheds at once; to send the next waiting attempt into
-        the same full house would have it shed too.
+        A backend server sheds at once, and would shed the next attempt too.
         """
         slot = HeldSlot(released.attempt)
         self._held.add(slot)
--- a/src/monsoonmill/decisions/quota/bucket.py
+++ b/src/monsoonmill/decisions/quota/bucket.py
@@ -15,10 +15,15 @@
 
 @frozen
 class Ramp:
-    """A limit that comes down to ``target`` until ``ends_at``; a raised one is at once.
+    """A limit on its way to another value; only a lower one takes time.
 
-    A limit that is lowered at one moment would refuse all of an organisation's calls
-    until its bucket is out of debt.
+    To lower a limit at one moment would refuse all calls of its organisation until
+    the bucket is out of debt.
+
+    Attributes
+    ----------
+    source, target : float
+        Limit at ``began_at`` and from ``ends_at`` on.
     """
 
     source: float
@@ -28,7 +33,7 @@
 
     @classmethod
     def between(cls, source: float, target: float, now: float, time_s: float) -> "Ramp":
-        """Begin a way from one limit to another."""
+        """Return the way from one limit to another; it takes ``time_s`` seconds."""
         return cls(max(source, target), target, now, now + time_s)
 
     def at(self, now: float) -> float:
