Wait in the soak for the newest accepted change before recovery is judged

The reports of the operator were sorted after the wait that needs them, so the wait for the newest revision was left out and the check at the end alone looked for it.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -85,18 +85,15 @@
             Load(self.fleet, MIXED, self.seed),
             Load(self.fleet, GREEDY, self.seed, "greedy-"),
         ]
-        tasks = [
-            OperatorTask(self.fleet, self.seed, self._reports.post),
-            WatchTask(self.fleet, self._reports.post),
-        ]
-        for task in tasks:
-            task.start()
+        operator = OperatorTask(self.fleet, self.seed, self._reports.post).start()
+        watch = WatchTask(self.fleet, self._reports.post).start()
         self._inject(make_schedule(self.seed, self.length_s, HOSTS))
-        tasks[0].stop()
-        assert tasks[0].join(CALL_LIMIT_S * 2)
+        operator.stop()
+        assert operator.join(CALL_LIMIT_S * 2)
+        self._collect()
         self._check_recovery()
-        tasks[1].stop()
-        assert tasks[1].join(CALL_LIMIT_S * 2)
+        watch.stop()
+        assert watch.join(CALL_LIMIT_S * 2)
         self._collect()
         self._check_all()
 
