End streams whose first message is not the one that names the other node

Cause: an accepted stream that never got its Hello (its bytes were lost on the way) answered heartbeats but dropped all else, since it knew no node to deliver for. Its other end took it for sound: claims and loans between the two nodes were lost for good. Ruled out: slices lost with the store (all 64 were owned), claims that can't be settled (they went on between the other pairs).

tests/test_peer_streams.py fails before (2 of 2) and passes after.

--- a/src/monsoonmill/errors.py
+++ b/src/monsoonmill/errors.py
@@ -95,6 +95,10 @@
     """A frame's fields do not fit its message type."""
 
 
+class NoHelloError(ProtocolError):
+    """A stream's first message is none that tells who the other node is."""
+
+
 class BadMessageError(ProtocolError):
     """The bytes of an HTTP connection are no valid message."""
 
--- a/src/monsoonmill/node/stream.py
+++ b/src/monsoonmill/node/stream.py
@@ -7,7 +7,7 @@
 
 from monsoonmill.chart import bind_methods
 from monsoonmill.codec import Codec
-from monsoonmill.errors import ProtocolError
+from monsoonmill.errors import NoHelloError, ProtocolError
 from monsoonmill.messages import Goodbye, Hello, Part, Ping, Pong
 from monsoonmill.model import Address
 from monsoonmill.node.assembly import Assembly
@@ -250,6 +250,10 @@
         cls = type(message)
         if cls is Hello:
             self.chart.send("hello", message)
+        elif not self.node:
+            # Without the name nobody could be given what comes: heartbeats would
+            # be answered while all else is lost.
+            raise NoHelloError(cls.__name__)
         elif cls is Ping:
             self._lanes.put(Pong(message.sequence))
         elif cls is Goodbye:
@@ -258,7 +262,7 @@
             whole = self._assembly.add(message)
             if whole is not None:
                 self._take(whole, now)
-        elif cls is not Pong and self.node:
+        elif cls is not Pong:
             self.last_used = now
             self.has_carried = True
             self.events.append(StreamMessage(self, message))
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -1,6 +1,7 @@
 """Streams between two nodes: real sockets, a clock of the test's own."""
 
 from selectors import DefaultSelector
+from socket import create_connection
 
 import pytest
 
@@ -8,7 +9,7 @@
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.signals import PeerDown, PeerUp, Received
 from monsoonmill.load.launcher import free_port
-from monsoonmill.messages import PEER_MESSAGES, Cancel, Hello
+from monsoonmill.messages import PEER_MESSAGES, Cancel, Hello, Ping
 from monsoonmill.model import Address
 from monsoonmill.node.peers import PeerSockets
 from monsoonmill.settings import Settings
@@ -136,3 +137,15 @@
         one.step(pair.now)
     assert one.count(PeerDown) == 1
     assert not one.peers.has_streams
+
+
+@pytest.mark.parametrize("first", [Ping(1), Cancel("attempt")])
+def test_stream_whose_first_message_was_lost_is_given_up(pair, first):
+    one, _ = pair.sides
+    address = (one.address.host, one.address.port)
+    with create_connection(address, timeout=1.0) as sock:
+        pair.settle()
+        sock.sendall(MsgpackCodec(PEER_MESSAGES).encode(first))
+        pair.settle()
+        assert not one.peers.has_streams
+    assert one.count(Received) == 0
