Log which slices a node owns and why it denied a token; keep what processes write

A call refused as over rate with escrowed quotas could not be explained from the logs: neither the slices that the node owned nor the holder that it asked were told. The soak threw its processes' standard output away, with the log of their requests; it stays in a file beside the settings now.

--- a/src/monsoonmill/decisions/quota/escrow.py
+++ b/src/monsoonmill/decisions/quota/escrow.py
@@ -69,6 +69,12 @@
         else:
             yield from super().on_timer(key, now)
 
+    def describe(self, demand, now):
+        """Return the own slices beside what is known of the holder."""
+        own = self.own.find(demand.organisation)
+        kept = "unknown" if own is None else own.chart.state
+        return f"{super().describe(demand, now)}, own {self.slices.owned(now)} {kept}"
+
     # Spending.
     def take(self, demand, now):
         """Spend a granted token, or one of the own slices that are not lent."""
--- a/src/monsoonmill/decisions/quota/held.py
+++ b/src/monsoonmill/decisions/quota/held.py
@@ -126,6 +126,13 @@
         yield from self.on_members_changed(signal, now)
         yield from super().on_self_leaving(signal, now)
 
+    def describe(self, demand, now):
+        """Return who holds the rate, and how this node stands with it."""
+        return (
+            f"{super().describe(demand, now)}, holder "
+            f"{self.holder(demand.organisation)}, {demand.chart.state}"
+        )
+
     # Asking.
     def take(self, demand, now):
         """Spend a granted token."""
--- a/src/monsoonmill/decisions/quota/parking.py
+++ b/src/monsoonmill/decisions/quota/parking.py
@@ -112,6 +112,11 @@
         """Yield what gets further tokens."""
         return ()
 
+    def describe(self, demand: Demand, now: float) -> str:
+        """Return what a denial rests on, for the log."""
+        wait_s = demand.next_token_at - now
+        return f"waiting {len(demand.parked)}, next token in {wait_s:.2f} s"
+
     def new_demand(self, organisation: str, now: float) -> Demand:
         """Return the entry of an organisation without calls."""
         return Demand(organisation, RateEstimate(now), RateEstimate(now))
@@ -154,7 +159,9 @@
             self._look_again(demand, now)
         else:
             self.counters.add("tokens-denied-at-once")
-            yield TokenDenied(signal.call, self._retry_after_s(demand, now))
+            retry_after_s = self._retry_after_s(demand, now)
+            detail = self.describe(demand, now)
+            yield TokenDenied(signal.call, retry_after_s, detail)
         yield from self.ask(demand, now)
 
     def _demand(self, organisation, now):
@@ -217,7 +224,8 @@
         self._parked -= 1
         self.timers.cancel(ParkingTime(demand.organisation, parked.call))
         self.counters.add("tokens-denied")
-        yield TokenDenied(parked.call, self._retry_after_s(demand, now))
+        retry_after_s = self._retry_after_s(demand, now)
+        yield TokenDenied(parked.call, retry_after_s, self.describe(demand, now))
 
     def next_due(self):
         """Return when the next timer is due."""
--- a/src/monsoonmill/decisions/quota/signals.py
+++ b/src/monsoonmill/decisions/quota/signals.py
@@ -41,3 +41,11 @@
     """A call that had its token never ran."""
 
     organisation: str
+
+
+@frozen
+class SlicesChanged:
+    """Another number of slices may be spent or lent here; for the log."""
+
+    owned: int
+    states: dict[str, list[int]]
--- a/src/monsoonmill/decisions/quota/sliced.py
+++ b/src/monsoonmill/decisions/quota/sliced.py
@@ -2,6 +2,7 @@
 
 from monsoonmill.decisions.quota.loans import OwnRates
 from monsoonmill.decisions.quota.parking import ParkingQuota, QuotaParts
+from monsoonmill.decisions.quota.signals import SlicesChanged
 from monsoonmill.decisions.quota.slices import SliceTable
 from monsoonmill.decisions.signals import PlatformDone, PlatformFailed
 
@@ -44,12 +45,12 @@
     def on_platform_done(self, signal, now):
         """Take the end of a call for slices."""
         yield from self.slices.on_platform_done(signal, now)
-        self._follow_slices(now)
+        yield from self._follow_slices(now)
 
     def on_platform_failed(self, signal, now):
         """Take the failure of a call for slices."""
         yield from self.slices.on_platform_failed(signal, now)
-        self._follow_slices(now)
+        yield from self._follow_slices(now)
 
     def on_members_changed(self, signal, now):
         """Balance the slices."""
@@ -61,7 +62,7 @@
         self._leaving = True
         yield from super().on_self_leaving(signal, now)
         yield from self.slices.release_all(now)
-        self._follow_slices(now)
+        yield from self._follow_slices(now)
 
     def on_config_changed(self, signal, now):
         """Follow changes of rates and bursts."""
@@ -76,12 +77,13 @@
     def tick(self, now):
         """Run the timers of slices and calls."""
         yield from self.slices.tick(now)
-        self._follow_slices(now)
+        yield from self._follow_slices(now)
         yield from super().tick(now)
 
     def _follow_slices(self, now):
         if self.own.has_changed(now):
             self.own.update(self.view.config.organisations, now)
+            yield SlicesChanged(self.slices.owned(now), self.slices.status())
 
     def status(self):
         """Return the slices and loans beside the calls that wait."""
--- a/src/monsoonmill/load/launcher.py
+++ b/src/monsoonmill/load/launcher.py
@@ -9,7 +9,6 @@
 from json import dumps
 from os import getpid
 from pathlib import Path
-from select import select
 from signal import SIGCONT, SIGSTOP, SIGTERM
 from socket import create_server
 from threading import Event
@@ -84,12 +83,18 @@
 
     Attributes
     ----------
+    output : Path
+        File of the lines that the process writes, behind those of former ones.
+    begins_at : int
+        Where its own lines begin there.
     port : int
         Port that the process has reported; 0 before it is ready.
     """
 
     name: str
     popen: subprocess.Popen
+    output: Path
+    begins_at: int
     port: int = 0
 
     @classmethod
@@ -99,12 +104,12 @@
         lines = (f"{section} = {render_toml(one)}" for section, one in tables.items())
         path.write_text("\n".join(lines), encoding="utf-8")
         command = [sys.executable, "-m", PROGRAMS[kind], "--config", str(path)]
-        with (Path(directory) / f"{name}.log").open("a") as errors:
-            # Unbuffered, so that ``select`` tells of each line.
-            popen = subprocess.Popen(
-                command, bufsize=0, stdout=subprocess.PIPE, stderr=errors
-            )
-        return cls(name, popen)
+        # What it writes stays for whoever asks afterwards what happened.
+        lines = (Path(directory) / f"{name}.out").open("ab")
+        with lines, (Path(directory) / f"{name}.log").open("a") as errors:
+            begins_at = lines.tell()
+            popen = subprocess.Popen(command, stdout=lines, stderr=errors)
+        return cls(name, popen, Path(lines.name), begins_at)
 
     def await_ready(self) -> "Process":
         """Wait for the line with the port, behind lines of log, and return.
@@ -114,17 +119,21 @@
         NotReadyError
             The process ended or said something else.
         """
-        words = self._next_line().split()
-        while words and words[0].startswith(b"{"):
-            words = self._next_line().split()
+        words = wait_for(self._first_words, READY_TIMEOUT_S, f"{self.name} ready")
         if len(words) != 2 or words[0] != b"ready":
             raise NotReadyError(f"{self.name}: {words}")
         self.port = int(words[1])
         return self
 
-    def _next_line(self):
-        ready, _, _ = select([self.popen.stdout], [], [], READY_TIMEOUT_S)
-        return self.popen.stdout.readline() if ready else b""
+    def _first_words(self):
+        """Return the words of the first whole line that is none of the log's."""
+        is_up = self.is_up
+        with self.output.open("rb") as lines:
+            lines.seek(self.begins_at)
+            for line in lines:
+                if line.endswith(b"\n") and not line.startswith(b"{"):
+                    return line.split()
+        return None if is_up else [b"ended"]
 
     @property
     def is_up(self) -> bool:
@@ -152,4 +161,3 @@
         """Make sure that the process has ended."""
         if self.is_up:
             self.kill()
-        self.popen.stdout.close()
--- a/src/monsoonmill/node/decision_log.py
+++ b/src/monsoonmill/node/decision_log.py
@@ -7,6 +7,7 @@
 from monsoonmill.decisions.calls.signals import CallReport, RunReport
 from monsoonmill.decisions.configuration.signals import ConfigAdopted
 from monsoonmill.decisions.members.signals import MemberChanged
+from monsoonmill.decisions.quota.signals import SlicesChanged
 from monsoonmill.eventlog import LineBudget, get_logger, request_log
 from monsoonmill.reasons import Outcome
 from monsoonmill.settings import NodeSettings
@@ -43,6 +44,7 @@
             RunReport: self._log_run,
             ConfigAdopted: self._log_config,
             MemberChanged: self._log_member,
+            SlicesChanged: self._log_slices,
         }
 
     def _log_call(self, report):
@@ -96,3 +98,6 @@
             accepts=one.accepts_calls,
             version=one.version,
         )
+
+    def _log_slices(self, changed):
+        request_log.write("slices", owned=changed.owned, states=changed.states)
