Ask the pool again for calls that it had no token for; report to one relay a group

Cause: calls whose wish was not met stayed at their node and nobody asked for them again, so they were denied after a quarter of their time. Relays told both relays of each other group the same; now first ones tell first ones, which halves the bytes between groups.

--- a/src/monsoonmill/decisions/quota/census.py
+++ b/src/monsoonmill/decisions/quota/census.py
@@ -107,12 +107,16 @@
 
     @property
     def far_relays(self) -> tuple[str, ...]:
-        """Nodes that report for the other groups."""
+        """Nodes that this relay reports to: one of each other group.
+
+        First relays tell first ones, second ones second ones, so that either
+        chain carries all while one of the other's nodes is lost.
+        """
+        place = self.relays[self.group].index(self.own.node)
         return tuple(
-            node
+            relays[place % len(relays)]
             for name, relays in self.relays.items()
-            if name != self.group
-            for node in relays
+            if name != self.group and relays
         )
 
 
--- a/src/monsoonmill/decisions/quota/replicated.py
+++ b/src/monsoonmill/decisions/quota/replicated.py
@@ -317,6 +317,7 @@
                 for wish, tokens in bucket.pool.serve(now):
                     yield Send(wish.node, PooledTokens(name, tokens))
                 yield from self._serve_parked(bucket, now)
+                yield from self._ask_pool(bucket, now)
                 bucket.expire_returned()
 
     def _note_scarcity(self, now):
