Split what a node may spend from who asks and who tells; drive the pool's requests by a chart

A node's requests to its pool's keeper follow the chart of token requests, as those to a rate's holder do. A lost answer now lets the keeper rest for an interval. No other behaviour changes; the tests of quotas pass. A restart of 40 nodes that form groups as they meet stays within the limits of a large and a small organisation (new test, not seen red).

--- a/src/monsoonmill/decisions/quota/bucket.py
+++ b/src/monsoonmill/decisions/quota/bucket.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from monsoonmill.decisions.quota.pool import Pool
+from monsoonmill.decisions.quota.pool import Pool, PoolRequest
 
 
 @frozen
@@ -89,7 +89,9 @@
     ramps : tuple of Ramp
         Ways of rate and burst to what the configuration says, if it lowered them.
     pool : Pool
-        Tokens that the nodes of a group have in common.
+        Tokens that the nodes of a group have in common, if this node keeps them.
+    request : PoolRequest
+        This node's request for some.
     """
 
     organisation: str
@@ -113,6 +115,7 @@
     highest: deque[tuple[float, float]] = field(factory=deque)
     ramps: tuple[Ramp, Ramp] | None = None
     pool: Pool = field(factory=Pool)
+    request: PoolRequest = field(factory=PoolRequest)
 
     def __attrs_post_init__(self):
         # Before this node knew of the bucket it may have been full.
--- a/src/monsoonmill/decisions/quota/escrow.py
+++ b/src/monsoonmill/decisions/quota/escrow.py
@@ -8,7 +8,7 @@
 from monsoonmill.decisions.quota.sliced import SlicedQuota
 from monsoonmill.decisions.quota.slices import CLOCK_RATE_MARGIN
 from monsoonmill.decisions.signals import Received, Send
-from monsoonmill.messages import Loan, LoanRequest, LoanReturn
+from monsoonmill.quota_messages import Loan, LoanRequest, LoanReturn
 
 ASK_LENDER_EVERY_S = 0.2
 EMPTY_LENDER_TERMS = 4
--- a/src/monsoonmill/decisions/quota/held.py
+++ b/src/monsoonmill/decisions/quota/held.py
@@ -17,8 +17,8 @@
     SilenceTimer,
 )
 from monsoonmill.decisions.signals import Received, Send
-from monsoonmill.messages import TokenGrant, TokenRequest, TokenReturn
 from monsoonmill.model import MemberState, Organisation
+from monsoonmill.quota_messages import TokenGrant, TokenRequest, TokenReturn
 
 SEQUENCE_BITS = 62
 LEAST_RETRY_S = 0.02
--- a/src/monsoonmill/decisions/quota/loans.py
+++ b/src/monsoonmill/decisions/quota/loans.py
@@ -9,8 +9,8 @@
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.decisions.quota.slices import CLOCK_RATE_MARGIN, SliceTable
 from monsoonmill.decisions.quota.token_bucket import TokenBucket
-from monsoonmill.messages import Loan, LoanReturn
 from monsoonmill.model import Organisation
+from monsoonmill.quota_messages import Loan, LoanReturn
 from monsoonmill.settings import QuotaSettings
 
 
--- a/src/monsoonmill/decisions/quota/pool.py
+++ b/src/monsoonmill/decisions/quota/pool.py
@@ -10,6 +10,8 @@
 
 from attrs import define, field, frozen
 
+from monsoonmill.chart import ChartInstance, bind_methods
+
 POOL_SHARE = 0.8
 """Part of a group's tokens that its pool holds; the rest is spent without asking."""
 ANSWER_S = 1.0
@@ -31,30 +33,21 @@
 
 @define
 class Pool:
-    """One organisation's tokens in the pool, and a node's request for some.
+    """One organisation's tokens at the node that keeps them for its group.
 
     Attributes
     ----------
     tokens : float
-        What the keeper may still give in this interval.
+        What may still be given in this interval.
     income : float
-        What an interval brings to the keeper.
+        What an interval brings.
     wishes : deque of Wish
-        Those that wait at the keeper.
-    asked_for : int
-        Tokens of the request under way; 0 if there is none.
-    asked_at : float
-        When it was sent.
-    rests_until : float
-        The pool was empty; it is not asked before this time.
+        Those that wait.
     """
 
     tokens: float = 0.0
     income: float = 0.0
     wishes: deque[Wish] = field(factory=deque)
-    asked_for: int = 0
-    asked_at: float = float("-inf")
-    rests_until: float = float("-inf")
 
     def allow(self, tokens: float) -> None:
         """Set what the keeper may give in the next interval, beside what is left."""
@@ -85,21 +78,58 @@
     def _is_late(self, now):
         return now - self.wishes[0].came_at >= ANSWER_S
 
-    def may_ask(self, now: float) -> bool:
-        """Return whether calls may wait for the pool's answer."""
-        return now >= self.rests_until
 
-    def is_asked(self, now: float) -> bool:
-        """Return whether a request is under way."""
-        return self.asked_for > 0 and now - self.asked_at < ANSWER_S
+@define(eq=False)
+class PoolRequest:
+    """A node's requests for an organisation's tokens; owner of their chart.
+
+    Attributes
+    ----------
+    wanted : int
+        Tokens that the last request asked for.
+    rest_s : float
+        A pool that had too little is left alone for so long.
+    due : float
+        When the answer counts as lost, or the rest ends.
+    """
+
+    chart: ChartInstance | None = None
+    wanted: int = 0
+    rest_s: float = 0.0
+    due: float = float("-inf")
+
+    def __attrs_post_init__(self):
+        self.chart = REQUEST_CHART.start(self, 0.0)
+
+    # Actions.
+    def send_request(self, now: float):
+        """Expect the answer in its time."""
+        self.due = now + ANSWER_S
+
+    def start_rest(self, now: float):
+        """Leave the keeper alone."""
+        self.due = now + self.rest_s
+
+    def end_rest(self, now: float):
+        """Let the keeper be asked again."""
+        self.due = float("-inf")
+
+    # Use.
+    def state(self, now: float) -> str:
+        """Return whether it is idle, asking or resting at a time."""
+        if self.chart.state != "idle" and now >= self.due:
+            self.chart.send("silent" if self.chart.state == "asking" else "due", now)
+        return self.chart.state
+
+    def ask(self, wanted: int, now: float) -> None:
+        """Note that a request goes out."""
+        self.wanted = wanted
+        self.chart.send("ask", now)
+
+    def on_answer(self, tokens: int, rest_s: float, now: float) -> None:
+        """Take the answer; one that comes too late changes nothing."""
+        self.rest_s = rest_s
+        self.chart.send("short" if tokens < self.wanted else "granted", now)
 
-    def note_asked(self, wanted: int, now: float) -> None:
-        """Note that a request has gone out."""
-        self.asked_for = wanted
-        self.asked_at = now
 
-    def note_answer(self, tokens: int, now: float, rest_s: float) -> None:
-        """Note an answer; a pool that had too little is left alone for a while."""
-        if tokens < self.asked_for:
-            self.rests_until = now + rest_s
-        self.asked_for = 0
+REQUEST_CHART = bind_methods("token_request", PoolRequest)
--- a/src/monsoonmill/decisions/quota/replicated.py
+++ b/src/monsoonmill/decisions/quota/replicated.py
@@ -7,7 +7,8 @@
 the fleet takes the others' parts of the rate as spent: a partition loses
 capacity and adds none.
 
-How the reports travel varies, see reports.py.
+How the reports travel is told in reports.py, how what is left is divided in
+allowance.py, and what the nodes of a group have in common in pool.py.
 """
 
 from monsoonmill.counters import Counters
@@ -15,8 +16,14 @@
 from monsoonmill.decisions.configuration.signals import ConfigChanged
 from monsoonmill.decisions.members.membership import Membership
 from monsoonmill.decisions.members.signals import MembersChanged
+from monsoonmill.decisions.quota.allowance import (
+    LEAST_RETRY_S,
+    MOST_SHARE,
+    SCARCE_LEVEL,
+    Allowance,
+)
 from monsoonmill.decisions.quota.bucket import Bucket, ParkedCall
-from monsoonmill.decisions.quota.pool import MOST_WANTED, POOL_SHARE, Wish
+from monsoonmill.decisions.quota.pool import MOST_WANTED, Wish
 from monsoonmill.decisions.quota.quota import Quota
 from monsoonmill.decisions.quota.reports import SpendingReports
 from monsoonmill.decisions.quota.signals import (
@@ -27,13 +34,13 @@
 )
 from monsoonmill.decisions.signals import Received, Send
 from monsoonmill.decisions.timers import Timers
-from monsoonmill.messages import (
+from monsoonmill.model import Organisation
+from monsoonmill.quota_messages import (
     PooledTokenRequest,
     PooledTokens,
     QuotaReport,
     ReportScope,
 )
-from monsoonmill.model import Organisation
 from monsoonmill.settings import QuotaSettings
 
 REPORT = "report"
@@ -42,45 +49,13 @@
 been spent just before all nodes were lost."""
 DEMAND_WEIGHT = 0.3
 """Weight of one report interval in the estimate of the demand."""
-LEAST_SHARE = 0.5
-"""A node counts on at least this part of an equal share of the bucket."""
-MOST_SHARE = 1.0
-"""A node counts on at most this many equal shares of the bucket, unless its part
-of the demand has been larger for long: others that it can't hear may want them."""
-STEADY_WEIGHT = 0.1
-"""Weight of one report interval in the long-term part of the demand."""
-ALONE_SHARE = 0.05
-"""Part of the rate that a node gives that has not heard of any other yet."""
-YOUNG_S = 1.0
-"""A node that has just started may know few of the others for so long."""
-ALONE_S = 3.0
-"""A node that has heard of no other by then is the only one."""
-SCARCE_LEVEL = 0.6
-"""Below this part of its burst an organisation's tokens are scarce."""
 SCARCE_DEMAND = 0.6
-"""They are too if this part of an interval's allowance was wanted."""
+"""Tokens are scarce too if this part of an interval's allowance was wanted."""
 LEAST_DEMAND = 0.01
 """Calls an interval below which a demand is not reported."""
-PARK_INTERVALS = 2
-"""A call waits for the tokens of so many intervals, half a second, before it is
-refused: less than callers accept, and sooner than they could come back."""
 PARK_TIME_SHARE = 0.25
 """Part of its time that a call waits for a token at the most; the rest is for its
 run and what it calls."""
-FLOOD = 1.3
-"""Demand, in parts of the rate, above which no call waits: it would only take the
-token of one that comes later, and all would be served late."""
-SURE_SHARE = 0.5
-"""Part of the bucket that others leave over for the next interval, at the least
-while their demand does not jump."""
-PLENTY_INTERVALS = 4
-"""The same while the bucket is nearly full: then one node's callers came at once,
-and the others leave their part."""
-FLOOD_RETRY_INTERVALS = 2
-"""While an organisation floods, a later return finds no more tokens than an early
-one, and callers want their answers soon."""
-LEAST_RETRY_S = 0.2
-MOST_RETRY_S = 2.0
 
 
 class ReplicatedQuota(Quota):
@@ -101,7 +76,7 @@
         self._counters = counters
         self._buckets: dict[str, Bucket] = {}
         self._timers = Timers()
-        self._started_at = 0.0
+        self._allowance = Allowance(reports)
 
     def handlers(self):
         """Return the handlers of this decision."""
@@ -117,7 +92,7 @@
 
     def start(self, now):
         """Begin to report."""
-        self._started_at = now
+        self._allowance.started_at = now
         self._timers.set(REPORT, now + self._interval_s())
         return ()
 
@@ -136,12 +111,6 @@
     def _fleet_size(self):
         return self._reports.census.size
 
-    def _known_share(self, now):
-        """Return the part of the fleet whose spending is known."""
-        if not self._reports.has_heard:
-            return 1.0 if now - self._started_at > ALONE_S else ALONE_SHARE
-        return self._reports.known_share(now)
-
     def _charge_silent(self, now):
         """Take what nodes may have spent that were heard of until now."""
         lost = self._reports.look(now)
@@ -166,9 +135,8 @@
             bucket.spend()
             yield TokenGiven(signal.call, organisation.name)
             return
-        if self._may_ask(bucket, now) or len(bucket.parked) + 1 <= self._most_parked(
-            bucket
-        ):
+        room = self._allowance.most_parked(bucket)
+        if self._may_ask(bucket, now) or len(bucket.parked) + 1 <= room:
             give_up_at = now + PARK_TIME_SHARE * max(signal.deadline - now, 0.0)
             bucket.parked.append(ParkedCall(signal.call, give_up_at))
             yield from self._ask_pool(bucket, now)
@@ -177,18 +145,17 @@
 
     # The group's pool.
     def _may_ask(self, bucket, now):
-        return self._reports.census.has_pools and bucket.pool.may_ask(now)
+        """Return whether calls may wait for an answer of the pool."""
+        return self._reports.census.has_pools and bucket.request.state(now) != "resting"
 
     def _ask_pool(self, bucket, now):
         """Ask for tokens for the calls that wait, one request at a time."""
-        pool = bucket.pool
         keeper = self._reports.census.pool_keeper(bucket.organisation)
         wanted = min(len(bucket.parked), MOST_WANTED)
-        if not (keeper and wanted and pool.may_ask(now)) or pool.is_asked(now):
-            return
-        pool.note_asked(wanted, now)
-        self._counters.add("pooled-token-requests")
-        yield Send(keeper, PooledTokenRequest(bucket.organisation, wanted))
+        if keeper and wanted and bucket.request.state(now) == "idle":
+            bucket.request.ask(wanted, now)
+            self._counters.add("pooled-token-requests")
+            yield Send(keeper, PooledTokenRequest(bucket.organisation, wanted))
 
     def on_pooled_request(self, signal: Received, now: float):
         """Give tokens of the pool; another node may keep it by now."""
@@ -199,7 +166,7 @@
             bucket = self._bucket(organisation, now)
             tokens = bucket.pool.take(wanted)
             wish = Wish(signal.node, wanted, now)
-            if not tokens and not self._is_flooded(bucket):
+            if not tokens and not self._allowance.is_flooded(bucket):
                 if bucket.pool.let_wait(wish):
                     return
         yield Send(signal.node, PooledTokens(name, tokens))
@@ -210,7 +177,7 @@
         if bucket is None:
             return
         tokens = signal.message.tokens
-        bucket.pool.note_answer(tokens, now, self._interval_s())
+        bucket.request.on_answer(tokens, self._interval_s(), now)
         for _ in range(min(tokens, len(bucket.parked))):
             bucket.spend_pooled()
             yield TokenGiven(bucket.parked.popleft().name, bucket.organisation)
@@ -230,7 +197,7 @@
             f"level {bucket.level:.1f} of {bucket.burst:g} at {bucket.rate:g}/s, "
             f"waiting {len(bucket.parked)}, nodes heard {self._reports.heard}"
         )
-        return TokenDenied(call, self._retry_after_s(bucket), detail)
+        return TokenDenied(call, self._allowance.retry_after_s(bucket), detail)
 
     def _serve_parked(self, bucket, now):
         """Give tokens to the calls that wait for them, and deny those in vain."""
@@ -242,33 +209,12 @@
             bucket.spend()
             yield TokenGiven(call.name, bucket.organisation)
         while not self._may_ask(bucket, now) and (
-            len(bucket.parked) > self._most_parked(bucket)
+            len(bucket.parked) > self._allowance.most_parked(bucket)
         ):
             yield self._deny(bucket.parked.pop().name, bucket)
         while bucket.parked and bucket.parked[0].give_up_at < now:
             yield self._deny(bucket.parked.popleft().name, bucket)
 
-    def _is_flooded(self, bucket):
-        """Return whether far more tokens are wanted than there will be."""
-        wanted = bucket.demand + bucket.others_demand
-        is_scarce = bucket.level < SCARCE_LEVEL * bucket.burst
-        return is_scarce and wanted > FLOOD * bucket.pace * self._interval_s()
-
-    def _most_parked(self, bucket):
-        """Return how many calls the tokens of the next intervals suffice for."""
-        if self._is_flooded(bucket):
-            return 0
-        is_plentiful = bucket.level >= SCARCE_LEVEL * bucket.burst
-        intervals = PLENTY_INTERVALS if is_plentiful else PARK_INTERVALS
-        return intervals * bucket.expected + bucket.allowance
-
-    def _retry_after_s(self, bucket):
-        if self._is_flooded(bucket):
-            return FLOOD_RETRY_INTERVALS * self._interval_s()
-        missing = max(1 - bucket.level, 0.0) + bucket.demand + bucket.others_demand
-        wait_s = missing / max(bucket.pace, 1.0)
-        return min(max(wait_s, LEAST_RETRY_S), MOST_RETRY_S)
-
     def _bucket(self, organisation: Organisation, now):
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
@@ -281,7 +227,7 @@
                 window_s=self._cfg.window_ms / 1000,
             )
             self._buckets[organisation.name] = bucket
-            self._allow(bucket, now, self._known_share(now))
+            self._allowance.allow(bucket, now, self._allowance.known_share(now))
         return bucket
 
     def on_config_changed(self, signal: ConfigChanged, now: float):
@@ -293,12 +239,12 @@
         for name in [one for one in self._buckets if one not in organisations]:
             for call in self._buckets.pop(name).parked:
                 yield TokenDenied(call.name, LEAST_RETRY_S)
-        share = self._known_share(now)
+        share = self._allowance.known_share(now)
         for name, bucket in self._buckets.items():
             bucket.fill(now, share)
             limits = organisations[name]
             bucket.limit_to(limits.rate, limits.burst, now, self._cfg.ramp_ms / 1000)
-            self._allow(bucket, now, share)
+            self._allowance.allow(bucket, now, share)
 
     # Reports.
     def tick(self, now):
@@ -308,12 +254,12 @@
             self._note_scarcity(now)
             yield from self._report(now)
             self._charge_silent(now)
-            share = self._known_share(now)
+            share = self._allowance.known_share(now)
             for name, bucket in self._buckets.items():
                 bucket.demand += DEMAND_WEIGHT * (bucket.wanted - bucket.demand)
                 bucket.wanted = 0
                 bucket.others_demand = self._reports.others_demand.get(name, 0.0)
-                self._allow(bucket, now, share)
+                self._allowance.allow(bucket, now, share)
                 for wish, tokens in bucket.pool.serve(now):
                     yield Send(wish.node, PooledTokens(name, tokens))
                 yield from self._serve_parked(bucket, now)
@@ -329,44 +275,6 @@
         )
         self._reports.note_scarce(is_scarce, now)
 
-    def _allow(self, bucket, now, share):
-        """Set what this node may spend in the next interval."""
-        bucket.fill(now, share)
-        # What is saved is spent over the intervals until all know of it.
-        saved = bucket.level / self._reports.lag if bucket.level > 0 else bucket.level
-        left = saved + bucket.pace * share * self._interval_s()
-        if now - self._started_at < YOUNG_S or not self._reports.has_heard:
-            # Others that started at the same time count on the same tokens, and
-            # not all of them are known yet.
-            left = min(left, bucket.rate * ALONE_SHARE * self._interval_s())
-        equal = 1 / max(self._fleet_size() * share, 1.0)
-        demand = bucket.demand + bucket.others_demand
-        part = bucket.demand / demand if demand > 0 else equal
-        bucket.steady_part += STEADY_WEIGHT * (part - bucket.steady_part)
-        part = min(part, max(MOST_SHARE * equal, bucket.steady_part))
-        allowed = left * max(part, LEAST_SHARE * equal)
-        if self._reports.census.has_pools:
-            bucket.pool.allow(left * POOL_SHARE * self._group_part(bucket, demand))
-            allowed *= 1 - POOL_SHARE
-        elif bucket.level >= 1:
-            allowed = max(allowed, 1.0)
-        # Fractions add up over intervals, or a small organisation gets nothing.
-        kept = min(max(bucket.allowance, 0.0), 1.0) if allowed < 1 else 0.0
-        bucket.allowance = max(kept + allowed, 0.0)
-        bucket.allowed = max(bucket.allowance, 1.0)
-        earned = bucket.pace * share * self._interval_s()
-        spare = max(bucket.level, 0.0) * SURE_SHARE
-        bucket.expected = max((earned + spare) * max(part, LEAST_SHARE * equal), 0.0)
-
-    def _group_part(self, bucket, demand):
-        """Return the own group's part of what all groups may spend."""
-        census = self._reports.census
-        equal = len(census.at_home) / max(census.size, 1)
-        if demand <= 0:
-            return equal
-        home = bucket.demand + self._reports.home_demand.get(bucket.organisation, 0.0)
-        return max(home / demand, LEAST_SHARE * equal)
-
     def _report(self, now):
         if not self._reports.is_due(now):
             return
--- a/src/monsoonmill/decisions/quota/reports.py
+++ b/src/monsoonmill/decisions/quota/reports.py
@@ -14,7 +14,7 @@
 from monsoonmill.decisions.quota.census import Census
 from monsoonmill.decisions.quota.spender import Ledger, Spender, Spent
 from monsoonmill.decisions.signals import Received, Send
-from monsoonmill.messages import QuotaReport, ReportScope
+from monsoonmill.quota_messages import QuotaReport, ReportScope
 from monsoonmill.settings import QuotaSettings
 
 MISSED_REPORTS = 2.4
@@ -227,7 +227,9 @@
             return int(source.name in census.at_home)
         if source.scope is ReportScope.BEYOND:
             return census.size - len(census.at_home)
-        return len(census.nodes.get(source.name, ())) * (source.name != census.group)
+        if source.name == census.group:
+            return 0
+        return len(census.nodes.get(source.name, ()))
 
     def _is_asked(self, now):
         """Return whether a relay was asked for reports lately."""
@@ -271,34 +273,18 @@
 
     def _make_home(self, own, now):
         """Return the report of the own group for the other relays."""
-        spent, lately = self._home.tell()
         nodes, demand = self._sum(ReportScope.NODE, now)
         _add(demand, own.demand)
         is_asked = own.answer or self._is_recent(self._home_asked_at, now)
-        return QuotaReport(
-            own.incarnation,
-            spent,
-            lately,
-            _rounded(demand),
-            is_asked,
-            ReportScope.GROUP,
-            nodes + 1,
-        )
+        report = _told(self._home, own, demand)
+        return evolve(report, answer=is_asked, scope=ReportScope.GROUP, nodes=nodes + 1)
 
     def _make_beyond(self, own, now):
         """Return the report of the other groups for the own one."""
-        spent, lately = self._beyond.tell()
         nodes, demand = self._sum(ReportScope.GROUP, now)
         is_asked = self._is_recent(self._beyond_asked_at, now)
-        return QuotaReport(
-            own.incarnation,
-            spent,
-            lately,
-            _rounded(demand),
-            is_asked,
-            ReportScope.BEYOND,
-            nodes,
-        )
+        report = _told(self._beyond, own, demand)
+        return evolve(report, answer=is_asked, scope=ReportScope.BEYOND, nodes=nodes)
 
     def _sum(self, scope, now):
         """Return the nodes that were heard of in a scope, and their demand."""
@@ -319,5 +305,8 @@
         total[name] = total.get(name, 0.0) + calls
 
 
-def _rounded(demand):
-    return {name: round(calls, 2) for name, calls in demand.items()}
+def _told(ledger, own, demand):
+    """Return a report of what a ledger has not told yet."""
+    spent, lately = ledger.tell()
+    rounded = {name: round(calls, 2) for name, calls in demand.items()}
+    return QuotaReport(own.incarnation, spent, lately, rounded)
--- a/src/monsoonmill/decisions/quota/spender.py
+++ b/src/monsoonmill/decisions/quota/spender.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from monsoonmill.messages import QuotaReport
+from monsoonmill.quota_messages import QuotaReport
 
 
 @frozen
--- a/src/monsoonmill/decisions/quota/token_requests.py
+++ b/src/monsoonmill/decisions/quota/token_requests.py
@@ -11,7 +11,7 @@
 from monsoonmill.decisions.quota.token_bucket import RateEstimate
 from monsoonmill.decisions.signals import Send
 from monsoonmill.decisions.timers import Timers
-from monsoonmill.messages import TokenGrant, TokenRequest, TokenReturn
+from monsoonmill.quota_messages import TokenGrant, TokenRequest, TokenReturn
 from monsoonmill.settings import QuotaSettings
 
 AHEAD_TERMS = 0.5
--- a/tests/quota_trial.py
+++ b/tests/quota_trial.py
@@ -12,8 +12,8 @@
 
 from monsoonmill.codec_msgpack import MsgpackCodec
 from monsoonmill.decisions.members.rendezvous import first_member
-from monsoonmill.messages import (
-    PEER_MESSAGES,
+from monsoonmill.messages import PEER_MESSAGES
+from monsoonmill.quota_messages import (
     Loan,
     LoanRequest,
     LoanReturn,
--- a/tests/test_quota_relays.py
+++ b/tests/test_quota_relays.py
@@ -4,7 +4,7 @@
 
 from monsoonmill.decisions.lifecycle.signals import DrainRequested
 from monsoonmill.decisions.quota.census import RELAYS
-from monsoonmill.messages import QuotaReport
+from monsoonmill.quota_messages import QuotaReport
 from tests.test_quota_replicated import BURST, RATE, anywhere, limit, make_fleet
 
 GROUPS = 4
@@ -201,3 +201,15 @@
     for name in names:
         assert len({census(one).pool_keeper(name) for one in home}) == 1
     assert len({census(home[0]).pool_keeper(name) for name in names}) > 1
+
+
+@pytest.mark.parametrize(("rate", "burst"), [(RATE, BURST), (10.0, 10.0)])
+def test_restart_of_nodes_that_form_groups_as_they_meet_adds_nothing(rate, burst):
+    fleet, nodes = make_fleet(
+        size=40, rate=rate, burst=burst, window_ms=5000, most_ungrouped=32
+    )
+    fleet.drive(6, 4 * rate, anywhere(fleet, nodes))
+    nodes = [fleet.restart(node) for node in nodes]
+    fleet.install(fleet.config)
+    fleet.drive(8, 4 * rate, anywhere(fleet, nodes))
+    assert fleet.most_in_a_window() <= limit(rate, burst)
