Name reports of spent tokens by the field's terms; let the last node of a group leave

Cause of the fault: a node that leaves is in no group, so the last one of its data centre looked its own group's relays up in vain at each report, and its quota's timers failed. The new test fails before (KeyError) and passes after. Found while the names were read.

--- a/src/monsoonmill/decisions/quota/allowance.py
+++ b/src/monsoonmill/decisions/quota/allowance.py
@@ -89,13 +89,13 @@
             # Others that started at the same time count on the same tokens, and
             # not all of them are known yet.
             left = min(left, bucket.rate * ALONE_SHARE * self._reports.interval_s())
-        equal = 1 / max(self._reports.census.size * share, 1.0)
+        equal = 1 / max(self._reports.groups.size * share, 1.0)
         demand = bucket.demand + bucket.others_demand
         part = bucket.demand / demand if demand > 0 else equal
         bucket.steady_part += STEADY_WEIGHT * (part - bucket.steady_part)
         part = min(part, max(MOST_SHARE * equal, bucket.steady_part))
         allowed = left * max(part, LEAST_SHARE * equal)
-        if self._reports.census.has_pools:
+        if self._reports.groups.has_pools:
             bucket.pool.allow(left * POOL_SHARE * self._group_part(bucket, demand))
             allowed *= 1 - POOL_SHARE
         elif bucket.level >= 1:
@@ -110,9 +110,11 @@
 
     def _group_part(self, bucket, demand):
         """Return the own group's part of what all groups may spend."""
-        census = self._reports.census
-        equal = len(census.at_home) / max(census.size, 1)
+        groups = self._reports.groups
+        equal = len(groups.own_nodes) / max(groups.size, 1)
         if demand <= 0:
             return equal
-        home = bucket.demand + self._reports.home_demand.get(bucket.organisation, 0.0)
+        home = bucket.demand + self._reports.own_group_demand.get(
+            bucket.organisation, 0.0
+        )
         return max(home / demand, LEAST_SHARE * equal)
--- a/src/monsoonmill/decisions/quota/census.py
+++ b/src/monsoonmill/decisions/quota/groups.py
@@ -14,7 +14,7 @@
 
 
 @frozen
-class Census:
+class ReportGroups:
     """The fleet as one node knows it, without the nodes that leave.
 
     Nodes that were lost silently are counted: they may live and spend.
@@ -30,7 +30,7 @@
         Names of those that report for their group, by group.
     live : tuple of str
         Nodes that are not believed to be gone, without the own one.
-    alive_at_home : tuple of Member
+    alive_own_nodes : tuple of Member
         Nodes of the own group that are neither doubted nor leaving.
     """
 
@@ -39,11 +39,11 @@
     nodes: dict[str, frozenset[str]] = field(factory=dict)
     relays: dict[str, tuple[str, ...]] = field(factory=dict)
     live: tuple[str, ...] = ()
-    alive_at_home: tuple[Member, ...] = ()
-    _keepers: dict[str, str] = field(factory=dict)
+    alive_own_nodes: tuple[Member, ...] = ()
+    _holders: dict[str, str] = field(factory=dict)
 
     @classmethod
-    def of(cls, members: Membership, most_ungrouped: int) -> "Census":
+    def of(cls, members: Membership, most_ungrouped: int) -> "ReportGroups":
         """Count the members as they are known now.
 
         Parameters
@@ -59,7 +59,7 @@
             group = WHOLE_FLEET if is_small else one.data_centre
             groups.setdefault(group, []).append(one)
         group = WHOLE_FLEET if is_small else own.data_centre
-        home = groups.get(group, ())
+        own_group = groups.get(group, ())
         return cls(
             own,
             group,
@@ -69,7 +69,7 @@
             },
             {name: _choose_relays(each) for name, each in groups.items()},
             tuple(one.node for one in members.live() if one.node != own.node),
-            tuple(one for one in home if one.state is MemberState.ALIVE),
+            tuple(one for one in own_group if one.state is MemberState.ALIVE),
         )
 
     @property
@@ -78,7 +78,7 @@
         return sum(len(one) for one in self.nodes.values())
 
     @property
-    def at_home(self) -> frozenset[str]:
+    def own_nodes(self) -> frozenset[str]:
         """Nodes of the own group."""
         return self.nodes.get(self.group, frozenset())
 
@@ -89,28 +89,28 @@
     @property
     def is_relay(self) -> bool:
         """Whether the own node reports for its group."""
-        return self.has_pools and self.own.node in self.relays[self.group]
+        return self.has_pools and self.own.node in self.relays.get(self.group, ())
 
     @property
     def has_pools(self) -> bool:
-        """Whether groups keep a part of their tokens in common."""
+        """Whether the nodes of a group hold a part of their tokens in common."""
         return len(self.nodes) > 1
 
-    def pool_keeper(self, organisation: str) -> str:
-        """Return who keeps an organisation's pool in the own group; empty for none."""
+    def pool_holder(self, organisation: str) -> str:
+        """Return who holds an organisation's pool in the own group; empty for none."""
         if not self.has_pools:
             return ""
-        if organisation not in self._keepers:
-            keeper = first_member(organisation, self.alive_at_home)
-            self._keepers[organisation] = keeper.node if keeper else ""
-        return self._keepers[organisation]
+        if organisation not in self._holders:
+            holder = first_member(organisation, self.alive_own_nodes)
+            self._holders[organisation] = holder.node if holder else ""
+        return self._holders[organisation]
 
     @property
-    def far_relays(self) -> tuple[str, ...]:
+    def counterparts(self) -> tuple[str, ...]:
         """Nodes that this relay reports to: one of each other group.
 
-        First relays tell first ones, second ones second ones, so that either
-        chain carries all while one of the other's nodes is lost.
+        First relays report to first ones and second ones to second ones, so that
+        either chain carries everything while a node of the other is lost.
         """
         place = self.relays[self.group].index(self.own.node)
         return tuple(
--- a/src/monsoonmill/decisions/quota/pool.py
+++ b/src/monsoonmill/decisions/quota/pool.py
@@ -2,7 +2,7 @@
 
 In a large fleet a node's own part of a small rate is a fraction of a token, and a
 call that comes early finds none while other nodes' parts lie idle. So most of what
-a group may spend of a rate is kept by one of its nodes, which the others ask.
+a group may spend of a rate is held by one of its nodes, which the others ask.
 """
 
 from collections import deque
@@ -15,16 +15,16 @@
 POOL_SHARE = 0.8
 """Part of a group's tokens that its pool holds; the rest is spent without asking."""
 ANSWER_S = 1.0
-"""An answer that takes longer is lost; a wish waits at the keeper for two intervals."""
+"""An answer that takes longer counts as lost."""
 WAIT_INTERVALS = 2
-"""Wishes wait for the tokens of so many intervals; others are answered at once."""
+"""Requests wait for the tokens of so many intervals; others are answered at once."""
 MOST_WANTED = 64
 """Tokens that one request asks for at the most."""
 
 
 @frozen
-class Wish:
-    """Tokens that a node waits for at the keeper."""
+class PendingRequest:
+    """A request that waits at the holder for tokens."""
 
     node: str
     wanted: int
@@ -41,42 +41,42 @@
         What may still be given in this interval.
     income : float
         What an interval brings.
-    wishes : deque of Wish
+    pending : deque of PendingRequest
         Those that wait.
     """
 
     tokens: float = 0.0
     income: float = 0.0
-    wishes: deque[Wish] = field(factory=deque)
+    pending: deque[PendingRequest] = field(factory=deque)
 
     def allow(self, tokens: float) -> None:
-        """Set what the keeper may give in the next interval, beside what is left."""
+        """Set what the holder may give in the next interval, beside what is left."""
         self.income = max(tokens, 0.0)
         kept = min(self.tokens, max(tokens, 1.0))
         self.tokens = max(kept + tokens, 0.0)
 
     def take(self, wanted: int) -> int:
-        """Return how many tokens the keeper gives."""
+        """Return how many tokens the holder gives."""
         given = min(max(wanted, 0), int(self.tokens))
         self.tokens -= given
         return given
 
-    def let_wait(self, wish: Wish) -> bool:
-        """Let a wish wait if the tokens of the next intervals suffice for it."""
-        ahead = sum(one.wanted for one in self.wishes)
-        may_wait = ahead + wish.wanted <= WAIT_INTERVALS * self.income + 1
+    def enqueue(self, request: PendingRequest) -> bool:
+        """Let a request wait if the tokens of the next intervals suffice for it."""
+        ahead = sum(one.wanted for one in self.pending)
+        may_wait = ahead + request.wanted <= WAIT_INTERVALS * self.income + 1
         if may_wait:
-            self.wishes.append(wish)
+            self.pending.append(request)
         return may_wait
 
-    def serve(self, now: float) -> Iterator[tuple[Wish, int]]:
-        """Yield the wishes that get tokens now, the oldest first."""
-        while self.wishes and (self.tokens >= 1 or self._is_late(now)):
-            wish = self.wishes.popleft()
-            yield wish, self.take(wish.wanted)
+    def serve(self, now: float) -> Iterator[tuple[PendingRequest, int]]:
+        """Yield the requests that get tokens now, the oldest first."""
+        while self.pending and (self.tokens >= 1 or self._is_late(now)):
+            request = self.pending.popleft()
+            yield request, self.take(request.wanted)
 
     def _is_late(self, now):
-        return now - self.wishes[0].came_at >= ANSWER_S
+        return now - self.pending[0].came_at >= ANSWER_S
 
 
 @define(eq=False)
@@ -107,11 +107,11 @@
         self.due = now + ANSWER_S
 
     def start_rest(self, now: float):
-        """Leave the keeper alone."""
+        """Leave the holder alone."""
         self.due = now + self.rest_s
 
     def end_rest(self, now: float):
-        """Let the keeper be asked again."""
+        """Let the holder be asked again."""
         self.due = float("-inf")
 
     # Use.
--- a/src/monsoonmill/decisions/quota/replicated.py
+++ b/src/monsoonmill/decisions/quota/replicated.py
@@ -23,7 +23,7 @@
     Allowance,
 )
 from monsoonmill.decisions.quota.bucket import Bucket, ParkedCall
-from monsoonmill.decisions.quota.pool import MOST_WANTED, Wish
+from monsoonmill.decisions.quota.pool import MOST_WANTED, PendingRequest
 from monsoonmill.decisions.quota.quota import Quota
 from monsoonmill.decisions.quota.reports import SpendingReports
 from monsoonmill.decisions.quota.signals import (
@@ -109,7 +109,7 @@
         return self._reports.interval_s()
 
     def _fleet_size(self):
-        return self._reports.census.size
+        return self._reports.groups.size
 
     def _charge_silent(self, now):
         """Take what nodes may have spent that were heard of until now."""
@@ -146,16 +146,16 @@
     # The group's pool.
     def _may_ask(self, bucket, now):
         """Return whether calls may wait for an answer of the pool."""
-        return self._reports.census.has_pools and bucket.request.state(now) != "resting"
+        return self._reports.groups.has_pools and bucket.request.state(now) != "resting"
 
     def _ask_pool(self, bucket, now):
         """Ask for tokens for the calls that wait, one request at a time."""
-        keeper = self._reports.census.pool_keeper(bucket.organisation)
+        holder = self._reports.groups.pool_holder(bucket.organisation)
         wanted = min(len(bucket.parked), MOST_WANTED)
-        if keeper and wanted and bucket.request.state(now) == "idle":
+        if holder and wanted and bucket.request.state(now) == "idle":
             bucket.request.ask(wanted, now)
             self._counters.add("pooled-token-requests")
-            yield Send(keeper, PooledTokenRequest(bucket.organisation, wanted))
+            yield Send(holder, PooledTokenRequest(bucket.organisation, wanted))
 
     def on_pooled_request(self, signal: Received, now: float):
         """Give tokens of the pool; another node may keep it by now."""
@@ -165,9 +165,9 @@
         if organisation is not None and organisation.rate > 0:
             bucket = self._bucket(organisation, now)
             tokens = bucket.pool.take(wanted)
-            wish = Wish(signal.node, wanted, now)
+            request = PendingRequest(signal.node, wanted, now)
             if not tokens and not self._allowance.is_flooded(bucket):
-                if bucket.pool.let_wait(wish):
+                if bucket.pool.enqueue(request):
                     return
         yield Send(signal.node, PooledTokens(name, tokens))
 
@@ -260,8 +260,8 @@
                 bucket.wanted = 0
                 bucket.others_demand = self._reports.others_demand.get(name, 0.0)
                 self._allowance.allow(bucket, now, share)
-                for wish, tokens in bucket.pool.serve(now):
-                    yield Send(wish.node, PooledTokens(name, tokens))
+                for request, tokens in bucket.pool.serve(now):
+                    yield Send(request.node, PooledTokens(name, tokens))
                 yield from self._serve_parked(bucket, now)
                 yield from self._ask_pool(bucket, now)
                 bucket.expire_returned()
--- a/src/monsoonmill/quota_messages.py
+++ b/src/monsoonmill/quota_messages.py
@@ -113,7 +113,7 @@
 
     NODE = "node"
     GROUP = "group"
-    BEYOND = "beyond"
+    OTHERS = "others"
 
 
 @frozen
--- a/tests/test_quota_relays.py
+++ b/tests/test_quota_relays.py
@@ -3,7 +3,7 @@
 import pytest
 
 from monsoonmill.decisions.lifecycle.signals import DrainRequested
-from monsoonmill.decisions.quota.census import RELAYS
+from monsoonmill.decisions.quota.groups import RELAYS
 from monsoonmill.quota_messages import QuotaReport
 from tests.test_quota_replicated import BURST, RATE, anywhere, limit, make_fleet
 
@@ -21,12 +21,12 @@
     return make_fleet(size=size, **GROUPED, **options)
 
 
-def census(node):
-    return node.core.quota._reports.census
+def groups(node):
+    return node.core.quota._reports.groups
 
 
 def relays(nodes):
-    return [node for node in nodes if census(node).is_relay]
+    return [node for node in nodes if groups(node).is_relay]
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -47,7 +47,7 @@
 
 def test_flood_in_one_group_uses_most_of_the_rate():
     fleet, nodes = grouped_fleet(window_ms=5000)
-    home = [one for one in nodes if census(one).group == census(nodes[0]).group]
+    home = [one for one in nodes if groups(one).group == groups(nodes[0]).group]
     fleet.drive(14, 3 * RATE, anywhere(fleet, home))
     late = [one for one in fleet.given_at if one > fleet.now - 8]
     assert len(late) >= 0.9 * 8 * RATE
@@ -66,7 +66,7 @@
     fleet, nodes = grouped_fleet(window_ms=window_ms)
     fleet.drive(3, 0.6 * RATE, anywhere(fleet, nodes))
     for node in nodes:
-        if census(node).group == census(nodes[0]).group:
+        if groups(node).group == groups(nodes[0]).group:
             fleet.cut_off(node)
     fleet.drive(10, 6 * RATE, anywhere(fleet, nodes))
     assert fleet.most_in_a_window() <= limit()
@@ -122,7 +122,7 @@
 
 def test_few_reports_cross_between_groups():
     fleet, nodes = grouped_fleet()
-    group_of = {one.name: census(one).group for one in nodes}
+    group_of = {one.name: groups(one).group for one in nodes}
     crossed = []
     deliver = fleet._deliver
 
@@ -141,17 +141,17 @@
 
 def test_small_fleet_is_one_group():
     fleet, nodes = make_fleet(size=8, most_ungrouped=8)
-    assert all(len(census(one).nodes) == 1 for one in nodes)
+    assert all(len(groups(one).nodes) == 1 for one in nodes)
     fleet.add(data_centre="south-2", region="south")
     fleet.advance(3)
-    assert all(len(census(one).nodes) == GROUPS for one in nodes)
+    assert all(len(groups(one).nodes) == GROUPS for one in nodes)
 
 
 def test_leaving_nodes_are_not_counted():
     fleet, nodes = grouped_fleet()
     fleet.give(nodes[-1], DrainRequested())
     fleet.advance(3)
-    assert census(nodes[0]).size == SIZE - 1
+    assert groups(nodes[0]).size == SIZE - 1
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -181,13 +181,13 @@
     fleet, nodes = grouped_fleet(rate=10.0, burst=10.0, window_ms=5000)
     fleet.drive(3, 5.0, anywhere(fleet, nodes))
     asking = nodes[0]
-    keeper = census(asking).pool_keeper("branch")
-    home = [one for one in nodes if census(one).group == census(asking).group]
+    holder = groups(asking).pool_holder("branch")
+    home = [one for one in nodes if groups(one).group == groups(asking).group]
     fleet.cut.update(
-        frozenset((keeper, one.name)) for one in home if one.name != keeper
+        frozenset((holder, one.name)) for one in home if one.name != holder
     )
     fleet.call_time_s = 4.0
-    others = [one for one in home if one.name != keeper]
+    others = [one for one in home if one.name != holder]
     fleet.drive(4, 30.0, anywhere(fleet, others))
     fleet.advance(2)
     assert not fleet.wanted_at.keys() & fleet.organisation_of.keys()
@@ -196,11 +196,11 @@
 
 def test_each_organisation_has_one_keeper_in_a_group():
     _, nodes = grouped_fleet()
-    home = [one for one in nodes if census(one).group == census(nodes[0]).group]
+    home = [one for one in nodes if groups(one).group == groups(nodes[0]).group]
     names = [f"organisation-{number}" for number in range(20)]
     for name in names:
-        assert len({census(one).pool_keeper(name) for one in home}) == 1
-    assert len({census(home[0]).pool_keeper(name) for name in names}) > 1
+        assert len({groups(one).pool_holder(name) for one in home}) == 1
+    assert len({groups(home[0]).pool_holder(name) for name in names}) > 1
 
 
 @pytest.mark.parametrize(("rate", "burst"), [(RATE, BURST), (10.0, 10.0)])
@@ -213,3 +213,11 @@
     fleet.install(fleet.config)
     fleet.drive(8, 4 * rate, anywhere(fleet, nodes))
     assert fleet.most_in_a_window() <= limit(rate, burst)
+
+
+def test_last_node_of_a_group_may_leave():
+    fleet, nodes = make_fleet(size=5, most_ungrouped=0)
+    alone = nodes[1]
+    fleet.give(alone, DrainRequested())
+    fleet.drive(2, 10.0, anywhere(fleet, nodes))
+    assert not groups(alone).is_relay
