--- a/tests/test_mutants_quota.py
+++ b/tests/test_mutants_quota.py
@@ -39,8 +39,9 @@
 
 class FreshSlicesAreFull(EscrowQuota):
     def _follow_slices(self, now):
-        if self.own.has_changed(now):
-            self.own.update(self.view.config.organisations, now)
+        has_changed = self.own.has_changed(now)
+        yield from super()._follow_slices(now)
+        if has_changed:
             for name in self.view.config.organisations:
                 bucket = self.own.find(name).bucket
                 bucket.level = bucket.capacity
