Tell up to 256 nodes directly of lost connections

Cause: above 32 nodes a report of a crash, or that a suspect was answered, is passed on once by each node to ten others, so each node hears of it ten times.

Sites of up to 32 nodes are not concerned.

--- a/src/monsoonmill/decisions/poison/guard.py
+++ b/src/monsoonmill/decisions/poison/guard.py
@@ -24,8 +24,9 @@
 """An early report never says that a request was alone."""
 COLLECT_S = 0.05
 """Connections that break within this time are reported together."""
-TELL_ALL_NODES = 32
-"""Up to so many nodes are told directly; in larger fleets others pass it on."""
+TELL_ALL_NODES = 256
+"""Up to so many nodes are told directly; in larger fleets others pass it on, and each
+node hears of it about as often as a node tells others."""
 EXTRA_FANOUT = 3
 MAX_NAMED = 256
 """Requests that one message names at most."""
--- a/src/monsoonmill/decisions/quota/reports.py
+++ b/src/monsoonmill/decisions/quota/reports.py
@@ -91,7 +91,7 @@
     @property
     def lag(self) -> int:
         """Intervals after which all nodes know what one has spent."""
-        return RELAY_INTERVALS if len(self.groups.nodes) > 1 else 1
+        return RELAY_INTERVALS if self.groups.has_pools else 1
 
     def count_members(self) -> None:
         """Follow a change of the membership."""
