Decode outside data per entry, with types that have bounds

Rates that are not finite were accepted, 'public': "false" opened a route, and a seed whose host is a name was resolved in the node's task. An unexpected error fails one request to the store and not its task.

--- a/src/monsoonmill/platform/heartbeats.py
+++ b/src/monsoonmill/platform/heartbeats.py
@@ -1,7 +1,10 @@
 """Heartbeats and deregistration of the local backend server."""
 
 from collections.abc import Iterable
-from json import loads
+from typing import Annotated, Literal
+
+from attrs import frozen
+from msgspec import Meta
 
 from monsoonmill.decisions.calls.signals import Answer
 from monsoonmill.decisions.lifecycle.signals import BackendHeartbeat
@@ -10,17 +13,56 @@
 from monsoonmill.eventlog import get_logger
 from monsoonmill.http1.server import WebApp
 from monsoonmill.model import Address, HttpRequest, HttpResponse
+from monsoonmill.outside_data import Name, NonNegativeInt, decode_json
 from monsoonmill.settings_fields import parse_address
 
 INSTANCES_PATH = "/monsoonmill/instances/"
 HEARTBEAT = "heartbeat"
 DEREGISTER = "deregister"
-IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
-"""Whether a backend server in the reported state is draining."""
+DRAINING = "draining"
+MAX_SLOTS = 1_000_000
 
 log = get_logger("heartbeats")
 
 
+@frozen
+class HeartbeatInfo:
+    """What a backend server is, in its heartbeats."""
+
+    service: Name
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
+
+
+@frozen
+class HeartbeatStatus:
+    """Current state of a backend server, in its heartbeats.
+
+    Attributes
+    ----------
+    sequence : int
+        Increases with each heartbeat of one start of the backend server.
+    """
+
+    state: Literal["ready", "draining"]
+    sequence: NonNegativeInt
+
+
+@frozen
+class HeartbeatDocument:
+    """A heartbeat.
+
+    Attributes
+    ----------
+    born : int
+        Unix time in milliseconds at which the backend server started.
+    """
+
+    address: str
+    info: HeartbeatInfo
+    status: HeartbeatStatus
+    born: NonNegativeInt = 0
+
+
 class HeartbeatApp(WebApp):
     """Handles the heartbeats and the deregistration of the local backend server.
 
@@ -85,19 +127,16 @@
         A field is missing or has an invalid type or value.
     """
     try:
-        doc = loads(body)
-        info, status = doc["info"], doc["status"]
-        started_ms = doc.get("born", 0)
-        sequence, slots = status["sequence"], info["slots"]
-        is_draining = IS_DRAINING_BY_STATE[status["state"]]
-        address = parse_address(doc["address"])
-        service = info["service"]
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
-        raise MalformedMessageError(f"malformed heartbeat: {exc!r}") from exc
-    if not all(type(number) is int for number in (started_ms, sequence, slots)):
-        raise MalformedMessageError("born, sequence and slots must be whole numbers")
-    if not isinstance(service, str) or not service or slots < 1:
-        raise MalformedMessageError("service and slots are needed")
+        doc = decode_json(body, HeartbeatDocument)
+        address = parse_address(doc.address)
+    except (ValueError, MalformedMessageError) as exc:
+        raise MalformedMessageError(f"malformed heartbeat: {exc}") from exc
     return BackendHeartbeat(
-        instance, started_ms, sequence, service, address, slots, is_draining
+        instance,
+        doc.born,
+        doc.status.sequence,
+        doc.info.service,
+        address,
+        doc.info.slots,
+        doc.status.state == DRAINING,
     )
--- a/src/monsoonmill/platform/store_client.py
+++ b/src/monsoonmill/platform/store_client.py
@@ -1,21 +1,26 @@
 """Client of the platform's key-value store."""
 
 from base64 import b64decode, b64encode
-from collections.abc import Iterator
-from json import dumps, loads
+from binascii import Error as Base64Error
+from collections.abc import Iterable, Iterator
+from json import dumps
 
-from attrs import frozen
+from attrs import field, frozen
+from msgspec import Raw
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
 from urllib3.exceptions import HTTPError
 
 from monsoonmill.decisions.configuration.pending_note import CONFIG_KEY
 from monsoonmill.decisions.signals import StoredValue
 from monsoonmill.errors import (
+    MalformedMessageError,
     PlatformConflictError,
     PlatformRateLimitError,
     PlatformUnavailableError,
 )
+from monsoonmill.eventlog import get_logger
 from monsoonmill.model import Address
+from monsoonmill.outside_data import Name, NonNegativeInt, decode_json
 from monsoonmill.settings import PlatformSettings
 from monsoonmill.store.client import PlatformClient
 from monsoonmill.store.errors import BadCallError, LeaseNotLiveError
@@ -31,6 +36,91 @@
 MAX_PAGES = 20
 """Maximum number of pages of a listing; a page has about 500 items."""
 
+log = get_logger("store.kv")
+
+
+@frozen
+class StoreItem:
+    """An item of the store, or an event that reports its change.
+
+    Attributes
+    ----------
+    value : str or None
+        The value in base64; None for a deleted item.
+    """
+
+    key: Name
+    revision: NonNegativeInt
+    value: str | None = None
+    tombstone: bool = False
+
+    def decode_value(self) -> bytes:
+        """Return the value.
+
+        Raises
+        ------
+        MalformedMessageError
+            There is no value, or it is not valid base64.
+        """
+        if self.value is None:
+            raise MalformedMessageError("the item has no value")
+        try:
+            return b64decode(self.value, validate=True)
+        except (Base64Error, ValueError) as exc:
+            raise MalformedMessageError(f"the value is not base64: {exc}") from exc
+
+
+@frozen
+class ItemAnswer:
+    """Answer to a read of one key.
+
+    Attributes
+    ----------
+    at_rev : int
+        Revision of the store at the time of the read.
+    """
+
+    revision: NonNegativeInt = 0
+    value: str | None = None
+    at_rev: NonNegativeInt = 0
+
+
+@frozen
+class RangeAnswer:
+    """A page of a listing."""
+
+    items: list[Raw] = field(factory=list)
+    has_more: bool = False
+
+
+@frozen
+class WatchAnswer:
+    """Answer to a watch; without ``at_rev`` the watch continues where it was."""
+
+    events: list[Raw] = field(factory=list)
+    at_rev: NonNegativeInt | None = None
+
+
+@frozen
+class ConflictAnswer:
+    """Current state of the expected keys of a refused transaction."""
+
+    items: list[Raw] = field(factory=list)
+
+
+@frozen
+class WriteAnswer:
+    """Answer to a transaction."""
+
+    revision: NonNegativeInt
+
+
+@frozen
+class LeaseAnswer:
+    """Answer to the grant of a lease."""
+
+    lease_id: NonNegativeInt
+
 
 @frozen
 class StoreCall:
@@ -87,11 +177,16 @@
                 "GET", "kv-key", fields, expected_statuses=(200, NOT_FOUND_STATUS)
             )
         )
-        doc = _parse_document(resp)
-        store_revision = int(doc.get("at_rev", 0))
+        if resp.status == NOT_FOUND_STATUS and not resp.data:
+            return StoredValue(key, 0, None), 0
+        answer = _parse(resp, ItemAnswer)
         if resp.status == NOT_FOUND_STATUS:
-            return StoredValue(key, 0, None), store_revision
-        return _parse_stored(key, doc), store_revision
+            return StoredValue(key, 0, None), answer.at_rev
+        item = StoreItem(self._full_key(key), answer.revision, answer.value)
+        try:
+            return StoredValue(key, item.revision, item.decode_value()), answer.at_rev
+        except MalformedMessageError as exc:
+            raise PlatformUnavailableError(f"malformed response: {exc}") from exc
 
     def watch(self, key: str, after: int) -> StoredValue | None:
         """Wait for a change to a key; return its new state, or None on a time-out."""
@@ -114,9 +209,10 @@
         if resp.status == GONE_STATUS:
             # The store has dropped the history since then; read the current state.
             return self._start_watch(key, after)
-        doc = _parse_document(resp)
-        self._watched_revisions[key] = int(doc.get("at_rev", watched_revision))
-        return self._newest_event(key, doc.get("events", ()))
+        answer = _parse(resp, WatchAnswer)
+        if answer.at_rev is not None:
+            self._watched_revisions[key] = answer.at_rev
+        return self._newest_event(key, answer.events)
 
     def _start_watch(self, key, after):
         stored, store_revision = self._read(key)
@@ -125,10 +221,15 @@
 
     def _newest_event(self, key, events):
         full_key = self._full_key(key)
-        changes = [event for event in events if event.get("key") == full_key]
-        if not changes or changes[-1].get("tombstone"):
+        changes = [item for item in _parse_items(events) if item.key == full_key]
+        if not changes or changes[-1].tombstone:
+            return None
+        newest = changes[-1]
+        try:
+            return StoredValue(key, newest.revision, newest.decode_value())
+        except MalformedMessageError as exc:
+            log.warning("event_left_out", key=key, error=str(exc))
             return None
-        return _parse_stored(key, changes[-1])
 
     def swap(
         self, key: str, expected: int, value: bytes | None, lease: str = ""
@@ -159,13 +260,13 @@
         )
         resp = self._send(call)
         if resp.status == CONFLICT_STATUS:
-            items = _parse_document(resp).get("items", ())
-            actual = next((int(item.get("revision", 0)) for item in items), 0)
+            items = _parse_items(_parse(resp, ConflictAnswer).items)
+            actual = next((item.revision for item in items), 0)
             raise PlatformConflictError(key, expected, actual)
         if resp.status == NOT_FOUND_STATUS:
             self._lease_ids.pop(lease, None)
             raise LeaseNotLiveError(lease)
-        return StoredValue(key, int(_parse_document(resp)["revision"]), value)
+        return StoredValue(key, _parse(resp, WriteAnswer).revision, value)
 
     def _find_lease_id(self, lease):
         if lease not in self._lease_ids:
@@ -192,7 +293,7 @@
             return
         doc = {"ttl_time": f"{int(ttl_s * 1000)}ms"}
         resp = self._send(StoreCall("POST", "kv-lease", {}, doc))
-        self._lease_ids[lease] = int(_parse_document(resp)["lease_id"])
+        self._lease_ids[lease] = _parse(resp, LeaseAnswer).lease_id
 
     def list_keys(self, prefix: str) -> tuple[StoredValue, ...]:
         """Return all keys with a prefix; the listing may be seconds old."""
@@ -204,11 +305,19 @@
             fields = {"path_prefix": self._full_key(prefix), "stale_read": "1"}
             if after:
                 fields["after"] = after
-            doc = _parse_document(self._send(StoreCall("GET", "kv-range", fields)))
-            for item in doc.get("items", ()):
-                after = item["key"]
-                yield _parse_stored(after.removeprefix(self._prefix), item)
-            if not doc.get("has_more"):
+            answer = _parse(
+                self._send(StoreCall("GET", "kv-range", fields)), RangeAnswer
+            )
+            for item in _parse_items(answer.items):
+                after = item.key
+                try:
+                    value = item.decode_value()
+                except MalformedMessageError as exc:
+                    log.warning("item_left_out", key=item.key, error=str(exc))
+                    continue
+                key = item.key.removeprefix(self._prefix)
+                yield StoredValue(key, item.revision, value)
+            if not answer.has_more:
                 return
 
     def close(self) -> None:
@@ -253,18 +362,17 @@
         )
 
 
-def _parse_document(resp) -> dict:
+def _parse(resp, type_):
     try:
-        doc = loads(resp.data) if resp.data else {}
-    except ValueError as exc:
-        raise PlatformUnavailableError("response is not valid JSON") from exc
-    if not isinstance(doc, dict):
-        raise PlatformUnavailableError("response is not a JSON object")
-    return doc
+        return decode_json(resp.data, type_)
+    except MalformedMessageError as exc:
+        raise PlatformUnavailableError(f"malformed response: {exc}") from exc
 
 
-def _parse_stored(key, item) -> StoredValue:
-    try:
-        return StoredValue(key, int(item["revision"]), b64decode(item["value"]))
-    except (KeyError, TypeError, ValueError) as exc:
-        raise PlatformUnavailableError("response without a value") from exc
+def _parse_items(entries: Iterable[Raw]) -> Iterator[StoreItem]:
+    """Yield the readable items of a response; log the others."""
+    for raw in entries:
+        try:
+            yield decode_json(raw, StoreItem)
+        except MalformedMessageError as exc:
+            log.warning("item_left_out", error=str(exc))
--- a/src/monsoonmill/settings_fields.py
+++ b/src/monsoonmill/settings_fields.py
@@ -1,11 +1,14 @@
 """Field definitions for settings classes, with converters and validators."""
 
+from ipaddress import AddressValueError, IPv4Address
+
 from attrs import field
 from attrs.validators import ge, gt, instance_of, le
 
 from monsoonmill.model import Address
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -52,17 +55,23 @@
 
 
 def parse_address(text: str) -> Address:
-    """Parse an address in the form ``host:port``.
+    """Parse an address in the form ``host:port``, with an IP number as its host.
+
+    Host names are refused: resolving them would block the task that connects.
 
     Raises
     ------
     ValueError
-        The port is missing or out of range.
+        The host is not an IPv4 number, or the port is missing or out of range.
     """
     host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"{text!r} is not a host:port address")
-    return Address(host, int(port))
+    is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not is_port or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{str(text)[:80]!r} is not a host:port address")
+    try:
+        return Address(str(IPv4Address(host)), int(port))
+    except AddressValueError as exc:
+        raise ValueError(f"{str(text)[:80]!r} is not a host:port address") from exc
 
 
 def _parse_addresses(values):
--- a/src/monsoonmill/store/client.py
+++ b/src/monsoonmill/store/client.py
@@ -118,6 +118,13 @@
         except PlatformError as exc:
             self._log_failure(message, exc)
             self._reply(PlatformFailed(message.request, exc))
+        except Exception as exc:
+            # A defect in handling one request must not end the task, which would
+            # leave all later requests without a reply.
+            log.warning("call_failed", call=type(message).__name__, error=repr(exc))
+            log.traceback()
+            error = PlatformUnavailableError(f"{type(exc).__name__}: {exc}")
+            self._reply(PlatformFailed(message.request, error))
         else:
             self._log_success()
             self._reply(PlatformDone(message.request, values, sent_at))
