Bound endless heads and bodies; one unexpected error no longer ends a node

Cause: a Deadline header with the character U+00B2 (isdigit, but no int) raised in the node's task, outside of what contained errors, and ended it for good; so did a Keep-Alive header of a backend server. httptools gathers a header field until its end, so that a head without end took memory without limit; ten endless bodies took ten times the largest body. A backend server that answered before it had read a body lost the rest of it; bytes that came on an idle connection stayed there and preceded the next answer. Change: errors of a channel, of timers and of accepting are contained and logged, and close the channel at most; numbers in headers are ASCII and short; bytes that make no progress count against the limit of the headers; all bodies together have a budget, over which the largest one is closed (http.max_buffered_bytes, an eighth of the memory on the platform); the rest of an answered request is sent before the connection is used again (state sending); bytes on an idle connection close it.

--- a/src/monsoonmill/codec_msgpack.py
+++ b/src/monsoonmill/codec_msgpack.py
@@ -65,7 +65,7 @@
         """
         try:
             name, fields = self._envelope_decoder.decode(frame)
-        except MsgspecError as exc:
+        except (MsgspecError, RecursionError) as exc:
             raise MalformedMessageError(
                 "frame is not a pair of type name and fields"
             ) from exc
@@ -74,7 +74,7 @@
             raise UnknownMessageError(f"unknown message type {name!r}")
         try:
             return decoder.decode(fields)
-        except (MsgspecError, ValueError, TypeError) as exc:
+        except (MsgspecError, RecursionError, ValueError, TypeError) as exc:
             raise MalformedMessageError(f"{name}: invalid fields") from exc
 
 
--- a/src/monsoonmill/http1/client.py
+++ b/src/monsoonmill/http1/client.py
@@ -14,6 +14,7 @@
 )
 from monsoonmill.errors import ProtocolError
 from monsoonmill.eventlog import get_logger
+from monsoonmill.http1.buffer_budget import BufferBudget
 from monsoonmill.http1.messages import ConnectionLimits
 from monsoonmill.http1.parsing import ResponseReader
 from monsoonmill.model import Address, HttpResponse
@@ -86,9 +87,17 @@
         has_no_input = self._reader.is_idle and not self._reader.responses
         return self._allows_reuse and has_no_input and not self._send_buffer
 
+    def has_unsent_request(self, arg):
+        """Return whether the backend server answered before it read the whole request.
+
+        It reads the rest later, so that a further request must not be sent before.
+        """
+        has_no_input = self._reader.is_idle and not self._reader.responses
+        return self._allows_reuse and has_no_input and bool(self._send_buffer)
+
     def is_not_reusable(self, arg):
         """Return whether the connection must be closed after its response."""
-        return not self.is_reusable(arg)
+        return not self.is_reusable(arg) and not self.has_unsent_request(arg)
 
     def send_request(self, arg):
         """Append the encoded request to the send buffer."""
@@ -114,6 +123,10 @@
         """Report that the request was aborted."""
         self._fail(RunFailure.ABORTED)
 
+    def join_idle(self, arg):
+        """Make the connection available for further requests."""
+        self._pool.add_idle(self)
+
     def close_socket(self, arg):
         """Close the socket and remove the connection from the pool."""
         self._pool.close_connection(self)
@@ -136,8 +149,20 @@
             self.flush()
         if mask & EVENT_READ and not self.chart.finished:
             self._read(now)
+        return [*self.take_results(), *self._pool.take_evicted_results()]
+
+    def on_error(self, now: float):
+        """Close the connection; its request may have run."""
+        self.close_broken()
         return self.take_results()
 
+    def close_broken(self) -> None:
+        """Close the connection, since its response cannot be used."""
+        self._reader.responses.clear()
+        self.chart.send("invalid_response")
+        # A connection that is still being established has no response.
+        self.chart.send("connection_lost")
+
     def send_next(self, call: RunCall, now: float) -> None:
         """Send a further request over the idle connection."""
         self.call = call
@@ -161,6 +186,13 @@
                 self.chart.send("connection_lost")
                 return
             del self._send_buffer[:sent]
+        else:
+            self.chart.send("request_sent")
+        self._update_events()
+
+    def _update_events(self):
+        if self.chart.finished:
+            return
         mask = EVENT_READ | (EVENT_WRITE if self._send_buffer else 0)
         if mask != self._mask:
             self._mask = mask
@@ -174,9 +206,14 @@
         except OSError:
             self.chart.send("connection_lost")
             return
+        if data and self.call is None:
+            log.info("unexpected_bytes", size=len(data))
+            self.chart.send("invalid_response")
+            return
         try:
             if data:
                 self._reader.feed(data)
+                self._pool.count_buffered(self, len(self._reader.body))
             elif not self._reader.feed_eof():
                 is_truncated = not self._reader.is_idle
                 self.chart.send(
@@ -185,8 +222,7 @@
                 return
         except ProtocolError as exc:
             log.info("bad_response", error=str(exc))
-            self._reader.responses.clear()
-            self.chart.send("invalid_response")
+            self.close_broken()
             return
         self._process_responses(now)
 
@@ -233,6 +269,9 @@
         self.limits = limits
         self.selector: BaseSelector | None = None
         self._idle: list[BackendConnection] = []
+        self._sending: set[BackendConnection] = set()
+        self._budget = BufferBudget(limits.max_buffered_bytes)
+        self._evicted_results: list[RunFinished] = []
         self._busy: dict[str, BackendConnection] = {}
         self._next_sweep_at = 0.0
 
@@ -282,14 +321,41 @@
         return conn.take_results()
 
     def release(self, conn: BackendConnection) -> None:
-        """Move a connection whose request has ended to the idle ones."""
+        """Remove a connection whose request has ended from the busy ones."""
         self._busy.pop(conn.call.attempt, None)
+        self._budget.forget(conn)
+        self._sending.add(conn)
+
+    def add_idle(self, conn: BackendConnection) -> None:
+        """Make a connection available for further requests."""
+        self._sending.discard(conn)
         self._idle.append(conn)
 
+    def count_buffered(self, conn: BackendConnection, size: int) -> None:
+        """Record the size of a response's body; close the largest one if needed."""
+        largest = self._budget.record(conn, size)
+        if largest is not None:
+            log.warning("body_budget_exceeded", total=self._budget.total_bytes)
+            largest.close_broken()
+            if largest is not conn:
+                self._evicted_results.extend(largest.take_results())
+
+    def take_evicted_results(self) -> list[RunFinished]:
+        """Remove and return the results of connections closed for their bodies."""
+        results, self._evicted_results = self._evicted_results, []
+        return results
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the response bodies that are being received."""
+        return self._budget.total_bytes
+
     def close_connection(self, conn: BackendConnection) -> None:
         """Close a connection's socket and remove it from the idle ones."""
         if conn in self._idle:
             self._idle.remove(conn)
+        self._sending.discard(conn)
+        self._budget.forget(conn)
         self.selector.unregister(conn.sock)
         conn.sock.close()
 
@@ -307,8 +373,9 @@
         if now < self._next_sweep_at:
             return
         self._next_sweep_at = now + SWEEP_INTERVAL_S
-        for conn in [conn for conn in self._idle if now >= conn.expires_at]:
-            conn.chart.send("expire")
+        for conn in [*self._idle, *self._sending]:
+            if now >= conn.expires_at:
+                conn.chart.send("expire")
         for conn in list(self._busy.values()):
             is_connecting = conn.chart.state == "connecting"
             if is_connecting and now - conn.started_at > CONNECT_TIMEOUT_S:
@@ -317,5 +384,5 @@
 
     def close(self) -> None:
         """Close all connections."""
-        for conn in [*self._idle, *self._busy.values()]:
+        for conn in [*self._idle, *self._sending, *self._busy.values()]:
             conn.sock.close()
--- a/src/monsoonmill/http1/messages.py
+++ b/src/monsoonmill/http1/messages.py
@@ -7,6 +7,7 @@
 from monsoonmill.model import HttpResponse
 
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
+DEFAULT_BUFFERED_BYTES = 1 << 27
 BODILESS = (204, 304)
 """Statuses of responses without a body."""
 
@@ -23,12 +24,16 @@
         Time after which a connection without a request is closed.
     header_s : float
         Time limit for receiving the headers of a request, from its first byte.
+    max_buffered_bytes : int
+        Bytes that the bodies on all connections of a component may occupy together;
+        a single body may exceed it.
     """
 
     max_header_bytes: int
     max_body_bytes: int
     idle_s: float
     header_s: float
+    max_buffered_bytes: int = DEFAULT_BUFFERED_BYTES
 
 
 def encode_response(resp: HttpResponse, method: str, keeps_alive: bool) -> bytes:
--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -28,9 +28,49 @@
         self.header_bytes = 0
         self.body = bytearray()
         self.url = b""
+        self._unparsed_bytes = 0
+        self._has_progressed = False
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        Raises
+        ------
+        InvalidHttpMessageError
+            The bytes are not a valid message.
+        HttpMessageTooLargeError
+            The headers or the body exceed their limit.
+        """
+        self._has_progressed = False
+        self._parse(data)
+        # The parser itself accumulates a header field until its end, and skips what
+        # is neither a header nor a body.
+        if self._has_progressed:
+            self._unparsed_bytes = 0
+        else:
+            self._unparsed_bytes += len(data)
+            if self._unparsed_bytes > self.max_header_bytes:
+                raise HttpMessageTooLargeError("headers", self.max_header_bytes)
+
+    def _parse(self, data):
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError as exc:
+            # httptools wraps an error that a callback raises; the original is its
+            # context.
+            if isinstance(exc.__context__, HttpMessageTooLargeError):
+                raise exc.__context__ from exc
+            raise InvalidHttpMessageError(str(exc)) from exc
+
+    def take_body(self) -> bytes:
+        """Return the body of a complete message and release its buffer."""
+        body = bytes(self.body)
+        self.body = bytearray()
+        return body
 
     def on_message_begin(self):
         """Reset the state for a new message."""
+        self._has_progressed = True
         self.is_idle = False
         self.has_headers = False
         self.headers = []
@@ -45,6 +85,7 @@
 
     def on_header(self, name, value):
         """Append a header field."""
+        self._has_progressed = True
         self._count_header_bytes(len(name) + len(value))
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
@@ -55,10 +96,12 @@
 
     def on_headers_complete(self):
         """Record that the headers are complete."""
+        self._has_progressed = True
         self.has_headers = True
 
     def on_body(self, data):
         """Append a part of the body."""
+        self._has_progressed = True
         if len(self.body) + len(data) > self.max_body_bytes:
             raise HttpMessageTooLargeError("body", self.max_body_bytes)
         self.body += data
@@ -84,25 +127,14 @@
         self.requests: deque[tuple[HttpRequest, bool]] = deque()
         self._parser = HttpRequestParser(self)
 
-    def feed(self, data: bytes) -> None:
-        """Parse received bytes.
-
-        Raises
-        ------
-        InvalidHttpMessageError
-            The bytes are not a valid request.
-        HttpMessageTooLargeError
-            The headers or the body exceed their limit.
-        """
-        _feed(self._parser, data)
-
     def on_message_complete(self):
         """Append the request."""
+        self._has_progressed = True
         req = HttpRequest(
             self._parser.get_method().decode("latin-1"),
             self.url.decode("latin-1"),
             tuple(self.headers),
-            bytes(self.body),
+            self.take_body(),
         )
         self.requests.append((req, self._parser.should_keep_alive()))
         self.is_idle = True
@@ -122,20 +154,9 @@
         self.responses: deque[tuple[HttpResponse, bool]] = deque()
         self._parser = HttpResponseParser(self)
 
-    def feed(self, data: bytes) -> None:
-        """Parse received bytes.
-
-        Raises
-        ------
-        InvalidHttpMessageError
-            The bytes are not a valid response.
-        HttpMessageTooLargeError
-            The headers or the body exceed their limit.
-        """
-        _feed(self._parser, data)
-
     def on_message_complete(self):
         """Append the response, unless it is an interim (1xx) response."""
+        self._has_progressed = True
         if self._parser.get_status_code() >= 200:
             self._append(self._parser.should_keep_alive())
         self.is_idle = True
@@ -161,16 +182,6 @@
 
     def _append(self, keeps_alive):
         resp = HttpResponse(
-            self._parser.get_status_code(), tuple(self.headers), bytes(self.body)
+            self._parser.get_status_code(), tuple(self.headers), self.take_body()
         )
         self.responses.append((resp, keeps_alive))
-
-
-def _feed(parser, data):
-    try:
-        parser.feed_data(data)
-    except HttpParserError as exc:
-        # httptools wraps an error that a callback raises; the original is its context.
-        if isinstance(exc.__context__, HttpMessageTooLargeError):
-            raise exc.__context__ from exc
-        raise InvalidHttpMessageError(str(exc)) from exc
--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -14,6 +14,7 @@
     SettingsError,
 )
 from monsoonmill.eventlog import get_logger, request_log
+from monsoonmill.http1.buffer_budget import BufferBudget
 from monsoonmill.http1.messages import ConnectionLimits, encode_response
 from monsoonmill.http1.parsing import RequestReader
 from monsoonmill.model import Address, HttpRequest, HttpResponse
@@ -25,6 +26,9 @@
 """Maximum number of connections accepted before open ones are served again."""
 SWEEP_INTERVAL_S = 1.0
 """Interval at which idle and slow connections are checked."""
+BODY_BUDGET_STATUS = 503
+BODY_BUDGET_RETRY_S = "1"
+"""Value of Retry-After for a request whose body there is no memory for."""
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = get_logger("http")
@@ -95,6 +99,8 @@
         keeps_alive = self.keeps_alive(resp)
         self._send_buffer += encode_response(resp, self._req.method, keeps_alive)
         self.call = ""
+        self._req = None
+        self._server.budget.forget(self)
         self.last_used_at = self._now
 
     def report_disconnect(self, arg):
@@ -116,6 +122,11 @@
             yield from self._serve(now)
         yield from self._take_signals()
 
+    def on_error(self, now: float):
+        """Close the connection without a response."""
+        self.abort()
+        return self._take_signals()
+
     def respond(self, resp: HttpResponse, now: float):
         """Send the response to the pending request and serve the requests after it."""
         self._now = now
@@ -124,7 +135,7 @@
         yield from self._serve(now)
         yield from self._take_signals()
 
-    def reject(self, status: int, detail: str) -> None:
+    def reject(self, status: int, detail: str, headers=()) -> None:
         """Send an error response to an invalid request and close the connection.
 
         While an earlier request is pending, its response would have to come first, so
@@ -134,7 +145,7 @@
             self.abort()
             return
         self._send_buffer += encode_response(
-            HttpResponse(status, (), detail.encode()), "GET", False
+            HttpResponse(status, headers, detail.encode()), "GET", False
         )
         self.chart.send("request_rejected")
         self._flush()
@@ -176,9 +187,22 @@
             log.info("bad_request", error=str(exc))
             self.reject(400, "malformed request")
         else:
+            self._count_body()
             if self.reader.has_headers and not self.reader.is_idle:
                 self._send_continue()
 
+    def _count_body(self):
+        """Refuse the request if the bodies of all requests exceed their budget.
+
+        A request that is still being received has not run.
+        """
+        pending = 0 if self._req is None else len(self._req.body)
+        largest = self._server.budget.record(self, pending + len(self.reader.body))
+        if largest is not None and not self.reader.is_idle:
+            log.warning("body_budget_exceeded", total=self._server.budget.total_bytes)
+            retry_after = (("Retry-After", BODY_BUDGET_RETRY_S),)
+            self.reject(BODY_BUDGET_STATUS, "out of memory for bodies\n", retry_after)
+
     def _send_continue(self):
         if self.reader.header("expect").lower() == "100-continue":
             if not self.reader.body and self.chart.state == "reading":
@@ -224,6 +248,10 @@
         self.sock = sock
         self._server = server
 
+    def on_error(self, now: float):
+        """Do nothing, since the port stays open."""
+        return ()
+
     def on_ready(self, mask: int, now: float):
         """Accept a batch of connections; the selector reports any that remain."""
         for _ in range(ACCEPT_BATCH):
@@ -248,6 +276,7 @@
 
     def __init__(self, address: Address, app: WebApp, limits: ConnectionLimits):
         self.limits = limits
+        self.budget = BufferBudget(limits.max_buffered_bytes)
         self.is_draining = False
         self.selector: BaseSelector | None = None
         self._address = address
@@ -314,6 +343,7 @@
     def close_connection(self, conn: CallerConnection) -> None:
         """Close a connection's socket and drop its pending request."""
         self._conns.discard(conn)
+        self.budget.forget(conn)
         self._pending.pop(conn.call, None)
         self.selector.unregister(conn.sock)
         conn.sock.close()
--- a/src/monsoonmill/node/network.py
+++ b/src/monsoonmill/node/network.py
@@ -15,6 +15,10 @@
     def on_ready(self, mask: int, now: float) -> Iterable[object]:
         """Handle the readiness of the socket; yield signals for the core."""
 
+    @abstractmethod
+    def on_error(self, now: float) -> Iterable[object]:
+        """Close the socket after an unexpected error; return signals for the core."""
+
 
 class NetworkComponent(ABC):
     """A front end, or the connections to the backend server, in the node's task.
--- a/src/monsoonmill/node/request_body.py
+++ b/src/monsoonmill/node/request_body.py
@@ -54,7 +54,7 @@
         return _read_chunks(req)
     if length is None:
         return b""
-    if not length.isdigit():
+    if not (length.isascii() and length.isdigit()):
         raise BodyLengthError("Content-Length must be a number of bytes")
     body = req.rfile.read()
     if len(body) != int(length):
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -183,14 +183,14 @@
             if key.data is None:
                 self._waker.clear()
             elif key.data is self._transport:
-                self._transport.on_accept(now)
+                self._accept_peers(now)
             elif isinstance(key.data, Channel):
-                self._handle_signals(key.data.on_ready(mask, now), now)
+                self._handle_signals(self._serve_channel(key.data, mask, now), now)
             else:
                 self._handle_signals(self._transport.on_ready(key.data, mask, now), now)
         is_running = self._process_messages(now)
         if self._next_due <= now:
-            self._execute(self._core.tick(now), now)
+            self._handle_core_tick(now)
             for component in self._components:
                 self._handle_signals(component.tick(now), now)
             self._handle_signals(self._transport.tick(now), now)
@@ -256,8 +256,40 @@
             self._handle_signals((message,), now)
         return True
 
+    def _serve_channel(self, channel, mask, now):
+        """Yield the signals of a channel; an unexpected error closes only it."""
+        try:
+            yield from channel.on_ready(mask, now)
+        except Exception as exc:
+            self._report_failure(channel, exc)
+            log.traceback()
+            yield from channel.on_error(now)
+
+    def _accept_peers(self, now):
+        try:
+            self._transport.on_accept(now)
+        except Exception as exc:
+            self._report_failure(self._transport, exc)
+            log.traceback()
+
+    def _handle_core_tick(self, now):
+        """Run the core's timers; those behind an unexpected error run next time."""
+        try:
+            self._execute(self._core.tick(now), now)
+        except Exception as exc:
+            self._report_failure(self._core, exc)
+            log.traceback()
+
+    def _contain_errors(self, signals: Iterable[object]):
+        """Yield signals until raising the next one fails, which is logged."""
+        try:
+            yield from signals
+        except Exception as exc:
+            self._report_failure(signals, exc)
+            log.traceback()
+
     def _handle_signals(self, signals: Iterable[object], now):
-        for signal in signals:
+        for signal in self._contain_errors(signals):
             try:
                 self._execute(self._core.handle(signal, now), now)
             except MonsoonError as exc:
--- a/src/monsoonmill/platform/backend.py
+++ b/src/monsoonmill/platform/backend.py
@@ -60,6 +60,7 @@
         """Return the time-out of the Keep-Alive header; None if it is missing."""
         for part in find_header(resp.headers, "keep-alive").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
-                return float(value)
+            seconds = value.strip()
+            if name.lower() == "timeout" and seconds.isascii() and seconds.isdigit():
+                return float(seconds)
         return None
--- a/src/monsoonmill/platform/callers.py
+++ b/src/monsoonmill/platform/callers.py
@@ -22,6 +22,8 @@
 TIMED_OUT_STATUS = 504
 FINAL_STATUSES = (400, 401, 403, 404, 413)
 MIN_RETRY_AFTER_S = 0.1
+MAX_NUMBER_DIGITS = 9
+"""Longer numbers in headers are ignored; as milliseconds they exceed a week."""
 FINAL_REASONS = frozenset(
     reason
     for reason, status in HTTP_STATUS.items()
@@ -114,4 +116,5 @@
 
 
 def _parse_number(text):
-    return int(text) if text.isdigit() else None
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
+    return int(text) if is_number else None
--- a/src/monsoonmill/platform/program.py
+++ b/src/monsoonmill/platform/program.py
@@ -63,6 +63,7 @@
             cfg.http.max_body_bytes,
             float(cfg.http.idle_connection_s),
             HEADER_TIMEOUT_S,
+            cfg.http.max_buffered_bytes,
         )
         operator_app = OperatorApp(self.core, lambda: self.task.latency)
         caller_server = WebServer(
@@ -84,6 +85,7 @@
                     cfg.http.max_body_bytes,
                     BACKEND_IDLE_TIMEOUT_S,
                     HEADER_TIMEOUT_S,
+                    cfg.http.max_buffered_bytes,
                 ),
             ),
         )
--- a/src/monsoonmill/platform/settings.py
+++ b/src/monsoonmill/platform/settings.py
@@ -13,6 +13,9 @@
 from monsoonmill.settings_files import read_shipped
 
 OVERLAY_FILE = "platform/defaults.toml"
+BODY_MEMORY_FRACTION = 0.125
+"""Fraction of a process's memory for the bodies of requests that are received or
+pending, and as much for responses; copies of a body take about as much again."""
 EXIT_RESERVE_S = 0.7
 """Part of the grace period after the drain, for Goodbye messages and process exit."""
 GOODBYE_TIMEOUT_S = 0.5
@@ -120,10 +123,19 @@
         **overlay.get("platform", {}),
         "endpoints": [doc["platform"]["address"]],
     }
+    _apply_limits(overlay, doc.get("limits", {}))
     _apply_contract_params(overlay, doc.get("contract_params", {}))
     return overlay
 
 
+def _apply_limits(overlay, limits):
+    """Set the memory for bodies from the memory of the host's process."""
+    if "memory_mb" in limits:
+        memory_bytes = int(limits["memory_mb"]) << 20
+        buffered_bytes = int(memory_bytes * BODY_MEMORY_FRACTION)
+        overlay["http"] = {**overlay["http"], "max_buffered_bytes": buffered_bytes}
+
+
 def _apply_contract_params(overlay, params):
     """Set the values that contract parameters determine; the others stay as shipped."""
     # "grace_period" is the time between SIGTERM and SIGKILL.
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -94,6 +94,7 @@
     idle_connection_s: int = int_field()
     max_header_bytes: int = int_field(1024)
     max_body_bytes: int = int_field(1024)
+    max_buffered_bytes: int = int_field(1024)
 
 
 @frozen
