Give away the slots of runs that a backend server will never answer

Its slot stayed taken until the caller's deadline. Ruled out: aborting such runs, since a slow run looks the same and breaking it off costs its caller.

--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -13,9 +13,11 @@
 )
 from monsoonmill.decisions.admission.fair_queue import FairQueue, QueuedCall
 from monsoonmill.decisions.admission.signals import Admitted, NotAdmitted, SlotReleased
+from monsoonmill.decisions.admission.silent_runs import SilentRuns
 from monsoonmill.decisions.admission.slots_limit import SlotsLimit
 from monsoonmill.decisions.signals import BackendAnnounced
 from monsoonmill.decisions.timers import Timers
+from monsoonmill.eventlog import get_logger
 from monsoonmill.messages import Load
 from monsoonmill.reasons import Importance, Reason
 from monsoonmill.settings import AdmissionSettings
@@ -33,6 +35,8 @@
 )
 """Classes that may use the whole concurrency limit."""
 
+log = get_logger("admission")
+
 
 @frozen
 class RunningCall:
@@ -100,6 +104,7 @@
         self._queue = FairQueue(cfg.queue_length)
         self._level = AdmissionLevel()
         self._running: dict[str, RunningCall] = {}
+        self._silent_runs = SilentRuns(cfg.silent_after_ms / 1000)
         self._withheld: set[WithheldSlot] = set()
         self._capacity = ObservedCapacity()
         self._background_running = 0
@@ -166,6 +171,8 @@
 
     def on_slot_released(self, signal, now):
         """Free a slot and assign it to the next attempt."""
+        if _run_result(signal) is RunResult.ANSWERED:
+            self._find_silent_runs(signal.attempt, now)
         run = self._release(signal.attempt)
         if run is not None:
             sample = RunSample(
@@ -180,6 +187,25 @@
             self._withhold(signal, run.route, now)
         yield from self._admit_waiting(now)
 
+    def _find_silent_runs(self, attempt, now):
+        """Give away the slots of runs that will probably never be answered."""
+        run = self._running.get(attempt)
+        if run is None:
+            return
+        latency_s = self._limit.recent_latency_s(run.route, now)
+        for name in self._silent_runs.record_answer(
+            attempt, latency_s, self._limit.limit, now
+        ):
+            silent = self._running.pop(name)
+            self._background_running -= silent.importance is Importance.BACKGROUND
+            log.info(
+                "slot_given_away",
+                attempt=name,
+                route=silent.route,
+                elapsed_ms=round((now - silent.started_at) * 1000),
+                latency_ms=round(latency_s * 1000),
+            )
+
     def _withhold(self, released, route, now):
         """Withhold a slot for as long as the attempt would have run.
 
@@ -261,11 +287,13 @@
             call.route, call.importance, now, running
         )
         self._background_running += call.importance is Importance.BACKGROUND
+        self._silent_runs.add(call.attempt, call.route, now)
         self._queue.charge(call)
         self._level.record_admitted(call.importance, now)
         return Admitted(call.attempt)
 
     def _release(self, attempt):
+        self._silent_runs.remove(attempt)
         run = self._running.pop(attempt, None)
         if run is not None:
             self._background_running -= run.importance is Importance.BACKGROUND
@@ -313,6 +341,7 @@
             **self._limit.status(),
             "running": load.running,
             "waiting": load.waiting,
+            "silent": len(self._silent_runs),
             "level": load.level.name.lower(),
         }
 
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -141,6 +141,7 @@
     queue_length: int = int_field(0)
     background_share: float = fraction_field()
     readmits: int = int_field(0)
+    silent_after_ms: int = int_field(0)
 
 
 @frozen
--- a/src/monsoonmill/standin/platform_backend.py
+++ b/src/monsoonmill/standin/platform_backend.py
@@ -44,6 +44,9 @@
         not implemented.
     signed : bool
         Whether answers have a signature.
+    most_held : int
+        Number of requests that can be executed or queued; further ones, and later
+        ones on the same connection, are never answered. 0 for no limit.
     """
 
     work_s: float = 0.0
@@ -51,6 +54,7 @@
     status: int = 200
     stray_answers: int = 0
     signed: bool = True
+    most_held: int = 0
 
 
 @define(eq=False)
@@ -88,6 +92,8 @@
         if self.behaviour.requests_to_shed > 0:
             self.behaviour.requests_to_shed -= 1
             return HttpResponse(503, ((HEADER_PREFIX + "Not-Executed", "1"),))
+        if 0 < self.behaviour.most_held <= len(self._running):
+            return RunningRequest(name, HttpResponse(503))
         self.runs.append(
             RecordedRequest(request_id, urlsplit(req.path).path, headers, req.body)
         )
