--- a/src/monsoonmill/http1/buffer_budget.py
+++ b/src/monsoonmill/http1/buffer_budget.py
@@ -8,8 +8,9 @@
     """Sizes of the bodies that are buffered, by connection.
 
     When they exceed the budget together, the connection with the largest body has to
-    be closed: an endless body ends up as the largest one. A single body is limited by
-    the maximum size of a message only.
+    be closed: an endless body ends up as the largest one, and a body smaller than an
+    equal part of the budget never does. A single body is limited by the maximum size of
+    a message only.
 
     Attributes
     ----------
