Keep a stream open while an attempt is in progress on it

Cause: streams close after 5 s without a message now, and calls may take 12 s; the loss of a node was then not noticed before the call's deadline. Change: a stream with an attempt in progress, in either direction, isn't idle. Measured: tests/test_peer_streams.py, one case red before.

--- a/src/monsoonmill/node/peer_stream.py
+++ b/src/monsoonmill/node/peer_stream.py
@@ -8,7 +8,16 @@
 from monsoonmill.chart import bind_methods
 from monsoonmill.codec import Codec
 from monsoonmill.errors import MissingHelloError, ProtocolError
-from monsoonmill.messages import Goodbye, Hello, Part, Ping, Pong
+from monsoonmill.messages import (
+    Cancel,
+    Forward,
+    Goodbye,
+    Hello,
+    Part,
+    Ping,
+    Pong,
+    Reply,
+)
 from monsoonmill.model import Address
 from monsoonmill.node.reassembly import MessageReassembler
 from monsoonmill.node.send_queue import SendQueue
@@ -110,6 +119,7 @@
         self._send_queue = SendQueue(codec, cfg.chunk_bytes)
         self._reader = codec.reader(cfg.max_frame_bytes)
         self._reassembler = MessageReassembler(codec, max_message_bytes)
+        self._open_attempts: set[str] = set()
         self._write_buffer = bytearray()
         self._pinged_at = now
         self._ping_sequence = 0
@@ -189,6 +199,7 @@
     def put(self, message: object, now: float) -> None:
         """Enqueue a message."""
         self._enqueue(message)
+        self._track_attempt(message)
         self.has_carried_messages = True
         self.last_used = now
 
@@ -197,6 +208,13 @@
         if self.ledger is not None:
             self.ledger.record(self.node, message, size)
 
+    def _track_attempt(self, message):
+        """Record whether an attempt is in progress, in either direction."""
+        if isinstance(message, Forward):
+            self._open_attempts.add(message.attempt)
+        elif isinstance(message, Reply | Cancel):
+            self._open_attempts.discard(message.attempt)
+
     def wants_to_write(self, may_send_part: bool) -> bool:
         """Return whether there are bytes to write."""
         return (
@@ -292,6 +310,7 @@
                 self._handle_message(assembled, now)
         elif cls is not Pong:
             self.last_used = now
+            self._track_attempt(message)
             self.has_carried_messages = True
             self.events.append(StreamMessage(self, message))
 
@@ -326,8 +345,11 @@
         return (now - last_activity) * 1000 >= ping_interval_ms
 
     def _is_idle(self, now):
+        # The loss of a stream ends the attempts on it; without a stream they would
+        # wait for their deadline.
+        is_in_use = bool(self._send_queue) or bool(self._open_attempts)
         idle_s = now - self.last_used
-        return self.is_initiator and idle_s > self._cfg.idle_s and not self._send_queue
+        return self.is_initiator and idle_s > self._cfg.idle_s and not is_in_use
 
     def _ping(self, now):
         self._pinged_at = now
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -9,9 +9,18 @@
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.signals import PeerDown, PeerUp, Received
 from monsoonmill.load.launcher import free_port
-from monsoonmill.messages import PEER_MESSAGES, Cancel, Hello, Ping
-from monsoonmill.model import Address
+from monsoonmill.messages import (
+    PEER_MESSAGES,
+    Cancel,
+    Forward,
+    Hello,
+    Load,
+    Ping,
+    Reply,
+)
+from monsoonmill.model import Address, HttpRequest
 from monsoonmill.node.peer_transport import PeerTransport
+from monsoonmill.reasons import Importance, Outcome, Reason
 from monsoonmill.settings import Settings
 
 HOST = "127.0.0.1"
@@ -129,6 +138,30 @@
     assert node_a.count_signals(PeerDown) == node_b.count_signals(PeerDown) == 1
 
 
+def make_forward():
+    request = HttpRequest("GET", "/")
+    return Forward(
+        "a1", "s", "r", request, "o", Importance.NORMAL, False, 9000, 0, 0, 0
+    )
+
+
+@pytest.mark.parametrize("replies", [True, False])
+def test_idle_stream_closes_only_without_an_attempt_in_progress(pair, replies):
+    node_a, node_b = pair.nodes
+    node_a.transport.connect(node_b.address, pair.now)
+    pair.settle()
+    idle_s = node_a.cfg.peers.idle_s
+    node_a.signals.extend(node_a.transport.send("node-b", make_forward(), pair.now))
+    pair.settle()
+    if replies:
+        reply = Reply("a1", Outcome.NOT_RUN, Reason.SHED, None, 0, 0, Load())
+        node_b.signals.extend(node_b.transport.send("node-a", reply, pair.now))
+        pair.settle()
+    pair.advance(idle_s + 2)
+    assert bool(node_a.transport._streams) is not replies
+    assert node_a.count_signals(PeerDown) == node_b.count_signals(PeerDown) == 0
+
+
 def test_stream_from_a_silent_peer_is_closed_after_the_time_out(pair):
     node_a, node_b = pair.nodes
     connect_simultaneously(pair)
