Let a node that is alone in its data centre keep its gossip partners

Cause: partners in other places beyond their number were dropped in each round and random others chosen, so that such a node opened new streams in every round. Change: the places that the partners are filled up from have no such number. Measured: tests/test_control_cost.py, two cases red before.

--- a/src/monsoonmill/decisions/members/gossip_partners.py
+++ b/src/monsoonmill/decisions/members/gossip_partners.py
@@ -1,6 +1,6 @@
 """The small set of nodes that this node gossips with."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from math import ceil, log2
 from random import Random
 
@@ -57,24 +57,24 @@
             self._fill(list(by_name), size)
             return
         others, region, data_centre = self._split(by_name)
-        self._names = dict.fromkeys(self._without_excess(others, region))
-        self._fill(others, PARTNERS_IN_OTHER_REGIONS)
-        self._fill(region, PARTNERS_IN_OTHER_DATA_CENTRES)
         nearby = data_centre or region or others
+        if nearby is not others:
+            self._limit(others, PARTNERS_IN_OTHER_REGIONS)
+        if nearby is data_centre:
+            self._limit(region, PARTNERS_IN_OTHER_DATA_CENTRES)
         self._fill(nearby, size - len(self._names.keys() - set(nearby)))
 
-    def _without_excess(self, others, region) -> Iterator[str]:
-        """Return the partners, without those in other places beyond their number.
+    def _limit(self, names, count):
+        """Have up to ``count`` of the names among the partners.
 
-        Partners that were chosen while few nodes were known may be too many.
+        There may be more, chosen while this node knew few others.
         """
-        in_others = [name for name in self._names if name in others]
-        in_region = [name for name in self._names if name in region]
-        excess = {
-            *in_others[PARTNERS_IN_OTHER_REGIONS:],
-            *in_region[PARTNERS_IN_OTHER_DATA_CENTRES:],
+        chosen = self._names.keys() & set(names)
+        kept = set([name for name in self._names if name in chosen][:count])
+        self._names = {
+            name: None for name in self._names if name not in chosen or name in kept
         }
-        return (name for name in self._names if name not in excess)
+        self._fill(names, count)
 
     def _split(self, by_name):
         """Return the names in other regions, in the own region and data centre."""
--- a/tests/test_control_cost.py
+++ b/tests/test_control_cost.py
@@ -97,11 +97,15 @@
     assert len(partners) >= MIN_PARTNERS
 
 
-def test_node_alone_in_its_data_centre_has_enough_partners():
+@pytest.mark.parametrize("region", ["r0", "alone"])
+def test_node_alone_in_its_data_centre_keeps_enough_partners(region):
     members = make_members(196)
-    own = evolve(members[0], data_centre="alone")
-    partners = partners_of(own, [own, *members[1:]])
-    assert len(partners) >= MIN_PARTNERS
+    own = evolve(members[0], region=region, data_centre="alone")
+    members[0] = own
+    partners = GossipPartners(Random(1), own, LOCAL_FROM)
+    chosen = partners_of(own, members, partners=partners)
+    assert len(chosen) >= MIN_PARTNERS
+    assert partners_of(own, members, rounds=20, partners=partners) == chosen
 
 
 def test_updates_reach_all_nodes_over_local_partners():
