Refuse a configuration whose tenants are no list

Cause: it was taken as one without tenants, so that all their callers got 401. Change: the document is refused and the last configuration stays in force. Measured: tests/test_outside_data.py, two cases red before.

--- a/src/monsoonmill/platform/config_codec.py
+++ b/src/monsoonmill/platform/config_codec.py
@@ -69,7 +69,8 @@
     version = doc.require("version", Version)
     listeners = doc.require("listeners", list[Raw])
     clusters = doc.require("clusters", list[Raw])
-    tenants = doc.get("tenants", list[Raw], [], [])
+    # Without its tenants a configuration would refuse all their callers.
+    tenants = doc.require("tenants", list[Raw]) if doc.has("tenants") else []
     services = _build_usable("service", _build_service, clusters)
     routes = _build_usable("listener", _build_routes, listeners)
     organisations, keys = {}, {}
--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -148,6 +148,8 @@
         b'{"version": %s}' % HUGE_INTEGER.encode(),
         b'{"version": 1e999}',
         b"\xff\xfe",
+        b'{"version": 7, "listeners": [], "clusters": [], "tenants": null}',
+        b'{"version": 7, "listeners": [], "clusters": [], "tenants": {}}',
         configuration(7, [rule("/x/", "a")], ("a",))[:-2],
         set_raw(configuration(7, [rule("MARK", "a")], ("a",)), "MARK", NESTED),
     ],
