Read the records of the last calls when they are written

Change: after the load has stopped the test waits up to 2 s for the records of all ends, and then checks the same; an execution that never ends or was cut is found as before.

--- a/tests/integration/test_graceful_shutdown.py
+++ b/tests/integration/test_graceful_shutdown.py
@@ -82,6 +82,10 @@
 
 @then("no request was interrupted")
 def no_request_interrupted(context):
+    # A backend server records an end after it has answered, so that the record of the
+    # last calls may follow their answers.
+    context.load.stop()
+    context.fleet.await_ended_executions()
     oracle = context.oracle()
     assert [
         execution for execution in oracle.executions if not execution["finished"]
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -3,15 +3,22 @@
 from contextlib import ExitStack
 from json import dumps, loads
 from pathlib import Path
+from threading import Event
 
 from attrs import define, field
 from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
 from monsoonmill.admin_client import AdminClient, AdminError
+from monsoonmill.clock import SystemClock
 from monsoonmill.load.launcher import HOST, Process, free_port, wait_for
 from monsoonmill.model import Address
 
+CLOCK = SystemClock()
+MAX_RECORD_DELAY_S = 2.0
+"""Time after the last answer within which a backend server records an end."""
+RECORD_CHECK_INTERVAL_S = 0.05
+
 
 @define(eq=False)
 class NodeHost:
@@ -271,6 +278,21 @@
                 records[key] = doc
         return list(records.values())
 
+    def has_ended_executions(self):
+        """Return whether all recorded executions have ended or were cancelled."""
+        return all(
+            record["finished"] or record["cancelled"] for record in self.executions()
+        )
+
+    def await_ended_executions(self, timeout_s=MAX_RECORD_DELAY_S):
+        """Wait until the ends of all executions are recorded, or for the time limit.
+
+        An execution that never ends is left for the caller to find.
+        """
+        deadline = CLOCK.now() + timeout_s
+        while not self.has_ended_executions() and CLOCK.now() < deadline:
+            Event().wait(RECORD_CHECK_INTERVAL_S)
+
     def call(self, host, path, method="GET", headers=None, body=None, timeout_s=15.0):
         """Send a request to a node and return its response; None if none came."""
         url = f"http://{HOST}:{host.call_port}{path}"
