--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -158,6 +158,7 @@
 
     def __init__(self, ip, port):
         self.listener = socket.create_server((ip, port), backlog=256)
+        self.open_sockets = set()
         self.address = f"{ip}:{self.listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -172,6 +173,7 @@
 
     def _serve(self, sock):
         reader = HttpReader(sock)
+        self.open_sockets.add(sock)
         try:
             while True:
                 first, headers = reader.head()
@@ -181,6 +183,7 @@
         except (OSError, Closed):
             pass
         finally:
+            self.open_sockets.discard(sock)
             sock.close()
 
     def handle(self, sock, method, path, headers, body):
@@ -191,6 +194,16 @@
         """Stop accepting connections."""
         self.listener.close()
 
+    def exit(self):
+        """End as a process does: all its connections are closed."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in list(self.open_sockets):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
 
 def respond(sock, status, headers=(), body=b""):
     """Send a response with its length."""
