--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -22,6 +22,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "shop.example"
 KEY = "review-key-0001"
+ZONES = {"negombo": "west-coast", "kalutara": "west-coast"}
 HEARTBEAT_S = 1.5
 READY_TIMEOUT_S = 30.0
 
@@ -32,7 +33,7 @@
 served_roles = ["sidecar", "control_plane"]
 ip = "{ip}"
 zone = "{zone}"
-region = "west-coast"
+region = "{region}"
 internal_ports = [7000,7015]
 seeds = {seeds}
 bootstrap = true
@@ -44,8 +45,7 @@
 app_addr = "{ip}:8547"
 service = "{service}"
 [zones]
-negombo = "west-coast"
-kalutara = "west-coast"
+{zones}
 [listen_addrs]
 inbound = "{ip}:8543"
 outbound = "{ip}:8548"
@@ -212,15 +212,15 @@
     sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
 
 
-class Store(Server):
+class Store:
     """The platform's metadata store: items, watches, transactions and leases."""
 
     def __init__(self, ip):
+        self.ip = ip
         self.items = {}
         self.events = []
         self.revision = 10
         self.changed = threading.Condition()
-        super().__init__(ip, 0)
 
     def put(self, key, value, lease_id=0):
         """Write an item and return the store's revision."""
@@ -238,16 +238,8 @@
             self.changed.notify_all()
             return self.revision
 
-    def handle(self, sock, method, path, headers, body):
-        """Answer one call."""
-        parts = urlsplit(path)
-        name = parts.path.removeprefix("/monsoonmill/")
-        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
-        status, doc = self._answer(name, query, json.loads(body or b"{}"))
-        content_type = (("Content-Type", "application/json"),)
-        respond(sock, status, content_type, json.dumps(doc).encode())
-
-    def _answer(self, name, query, doc):
+    def answer(self, name, query, doc):
+        """Return the status and the document that answer one call."""
         if name == "kv-watch":
             return self._watch(query)
         with self.changed:
@@ -303,6 +295,40 @@
                 self.changed.wait(left)
 
 
+class StoreDoor(Server):
+    """The store's address for one machine.
+
+    Attributes
+    ----------
+    turns_away : bool
+        Whether the store rejects this machine, with 503 ("nothing was done").
+    calls : list of (float, str)
+        When which call came.
+    """
+
+    def __init__(self, store, number):
+        self.store = store
+        self.number = number
+        self.turns_away = False
+        self.calls = []
+        super().__init__(store.ip, 0)
+
+    def handle(self, sock, method, path, headers, body):
+        """Answer one call."""
+        parts = urlsplit(path)
+        name = parts.path.removeprefix("/monsoonmill/")
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        self.calls.append((time.monotonic(), name))
+        status, doc = 503, {}
+        if not self.turns_away:
+            status, doc = self.store.answer(name, query, json.loads(body or b"{}"))
+        if self.turns_away:
+            # Also cuts a watch that was waiting.
+            status, doc = 503, {}
+        content_type = (("Content-Type", "application/json"),)
+        respond(sock, status, content_type, json.dumps(doc).encode())
+
+
 class Target(Server):
     """An application target: runs requests and sends heartbeats to its node.
 
@@ -411,7 +437,7 @@
 class Node:
     """One node: a process of the project, with its settings file."""
 
-    def __init__(self, fleet, number, ip, service, zone):
+    def __init__(self, fleet, number, ip, service, zone, region, store):
         self.fleet = fleet
         self.name = f"sidecar-{number}"
         self.ip = ip
@@ -423,9 +449,11 @@
                 name=self.name,
                 ip=ip,
                 zone=zone,
+                region=region,
+                zones="\n".join(f'{name} = "{of}"' for name, of in fleet.zones.items()),
                 service=service,
                 seeds=seeds,
-                store=fleet.store.address,
+                store=store.address,
             )
         )
 
@@ -477,20 +505,33 @@
 
 
 class Fleet:
-    """A small deployment; ``services`` names the service beside each node."""
+    """A small deployment; ``services`` names the service beside each node.
 
-    def __init__(self, record, services, config, work=None, slots=16):
+    Parameters
+    ----------
+    zones : dict
+        Region of each zone; the machines are dealt to them in turn.
+    """
+
+    def __init__(self, record, services, config, work=None, slots=16, zones=ZONES):
         self.record = record
+        self.zones = zones
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self._temporary.name)
         self._block = free_block(len(services))
         self.store = Store(self.ip(200))
         self.store.put("op/config", json.dumps(config).encode())
-        self.nodes, self.targets = [], []
+        self.nodes, self.targets, self.doors = [], [], []
         for number, service in enumerate(services):
-            zone = ("negombo", "kalutara")[number % 2]
+            zone = list(zones)[number % len(zones)]
             ip = self.ip(number)
-            self.nodes.append(Node(self, number, ip, service, zone))
+            # Each machine has an address of its own for the store, which so knows
+            # whom it answers.
+            door = StoreDoor(self.store, number)
+            self.doors.append(door)
+            self.nodes.append(
+                Node(self, number, ip, service, zone, zones[zone], door)
+            )
             self.targets.append(
                 Target(ip, service, record, slots=slots, work=work)
             )
@@ -518,9 +559,8 @@
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
                 node.process.wait()
-        self.store.close()
-        for target in self.targets:
-            target.close()
+        for server in (*self.doors, *self.targets):
+            server.close()
         keep = os.environ.get("KEEP")
         if keep:
             subprocess.run(["cp", "-r", str(self.folder), keep], check=False)
