Review case 2: answers without an end take nodes over their memory

Cause: the partial body of a closed connection is held by a cycle of references and waits for a rare garbage collection. No source is changed.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,88 +1,148 @@
-"""A node that is stopped cuts off an answer that its client still reads."""
+"""Answers without an end take nodes over their memory, a few a second."""
 
-import signal
-import socket
+import collections
+import random
 import sys
+import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin"))
 
-from fleet import Fleet, HttpReader, answer, configuration, main, new_id
-from fleet import request_bytes, rule
+from fleet import Fleet, Target, answer, call, configuration, main, rule
 
-BODY = b"d" * (16 << 20)
-DEADLINE_S = 5.008
-"""Deadline of a download on the large site."""
-READING_S = 4.4
-"""Time over which the client reads the answer evenly, from its request on."""
-TERM_AFTER_S = 0.1
-WORK_S = 0.13
-GRACE_S = 6.0
-RECEIVE_BUFFER_BYTES = 1 << 16
+import fleet
+
+MEMORY_MB = 300
+"""``memory_mb`` of the settings."""
+REQUESTS_PER_S = 40
+GARBLING_TARGETS = 2
+"""Of 4: a share of 0.5."""
+GARBLED_ANSWERS = 0.05
+CHUNK = b"z" * 65536
+WORK_S = 0.16
+SECONDS = 85
+RESTART_S = 1.0
+WATCH_INTERVAL_S = 0.01
+TIMES = 3
+MACHINES = 2
+
+rng = random.Random(22)
+endless = []
+
+
+class EndlessTarget(Target):
+    """Answers some requests with bytes that go on until the caller closes."""
+
+    garbles = False
+
+    def handle(self, sock, method, path, headers, body):
+        """Run a request; spoil some of the answers."""
+        attempt_id = headers.get("x-monsoonmill-attempt-id", "")
+        if not self.garbles or rng.random() >= GARBLED_ANSWERS:
+            super().handle(sock, method, path, headers, body)
+            return
+        self.runs.append((time.monotonic(), attempt_id, len(body)))
+        endless.append(attempt_id)
+        sent = 0
+        try:
+            sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+            while True:
+                sock.sendall(CHUNK)
+                sent += len(CHUNK)
+        finally:
+            self.record.add(
+                f"target {self.instance} answers {attempt_id} without an end; "
+                f"the caller closes after about {sent >> 20} MB"
+            )
+
+
+class MemoryLimit(threading.Thread):
+    """Does what the platform does: kills a process over its memory, and restarts it."""
+
+    def __init__(self, record, nodes):
+        super().__init__(daemon=True)
+        self.record = record
+        self.nodes = nodes
+        self.ends = {node.name: 0 for node in nodes}
+        self.most_mb = {node.name: 0.0 for node in nodes}
+        self.is_stopped = False
+
+    def run(self):
+        """Look at all processes until the end of the case."""
+        while not self.is_stopped:
+            for node in self.nodes:
+                memory_mb = node.memory_mb("VmRSS")
+                self.most_mb[node.name] = max(self.most_mb[node.name], memory_mb)
+                if memory_mb > MEMORY_MB:
+                    self._end(node, memory_mb)
+            time.sleep(WATCH_INTERVAL_S)
+
+    def _end(self, node, memory_mb):
+        node.process.kill()
+        node.process.wait()
+        self.ends[node.name] += 1
+        self.record.add(f"{node.name} has {memory_mb:.0f} of {MEMORY_MB} MB and is killed")
+        threading.Timer(RESTART_S, node.start).start()
+
+    @property
+    def is_broken(self):
+        """Whether enough machines ended often enough."""
+        return sum(ends >= TIMES for ends in self.ends.values()) >= MACHINES
 
 
 def work(sock, method, path, headers, body):
-    """Answer with a large body after the usual time."""
+    """Answer after the usual time."""
     time.sleep(WORK_S)
-    answer(sock, headers, BODY)
+    answer(sock, headers, b"v" * 1500)
 
 
 def run(record, trouble):
-    """Return whether the answer arrives whole."""
-    services = ["carepacks", "carepacks", "profiles", "profiles"]
-    rules = [rule("r-packs", "/packs/", "carepacks", "download", timeout="5008ms")]
-    cfg = configuration(rules, ["profiles", "carepacks"])
-    deployment = Fleet(record, services, cfg, work)
+    """Return whether the processes stay within their memory."""
+    fleet.Target = EndlessTarget
+    services = ["pledges", "pledges", "profiles", "profiles"]
+    rules = [rule("r-view", "/view/", "profiles", "idempotent")]
+    cfg = configuration(rules, ["pledges", "profiles"])
+    deployment = Fleet(record, services, cfg, work, slots=64)
+    for target in deployment.targets:
+        target.log_runs = False
+    for target in deployment.targets[-GARBLING_TARGETS:]:
+        target.garbles = trouble
     try:
         deployment.start()
-        return download(record, deployment.nodes[0], trouble)
+        limit = MemoryLimit(record, deployment.nodes)
+        limit.start()
+        press(record, deployment, limit)
+        limit.is_stopped = True
+        limit.join()
+        peaks = {name: round(most) for name, most in limit.most_mb.items()}
+        record.add(f"answers without an end: {len(endless)}")
+        record.add(f"most memory in MB {peaks}; ends {limit.ends}")
+        if limit.is_broken:
+            record.add(f"FAULT: {MACHINES} machines went over their memory {TIMES} times")
+        return not limit.is_broken
     finally:
         deployment.stop()
 
 
-def download(record, node, trouble):
-    """Request a download, stop the node and read the answer slowly."""
-    attempt_id = new_id()
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.settimeout(DEADLINE_S)
-    sock.connect((node.ip, 8548))
-    sent_at = time.monotonic()
-    sock.sendall(request_bytes("GET", "/packs/1", attempt_id, int(DEADLINE_S * 1000)))
-    record.add(f"client of {node.name} sends {attempt_id}")
-    time.sleep(TERM_AFTER_S)
-    if trouble:
-        node.send_signal(signal.SIGTERM)
-        record.add(f"{node.name} gets SIGTERM; it has {GRACE_S} s")
-    reader = HttpReader(sock)
-    first, headers = reader.head()
-    size, got = int(headers["content-length"]), len(reader.buffer)
-    record.add(f"client gets the head of its answer: {first}, {size} bytes follow")
-    ended = ""
-    while got < size:
-        ahead_s = READING_S * got / size - (time.monotonic() - sent_at)
-        if ahead_s > 0:
-            time.sleep(ahead_s)
-        try:
-            data = sock.recv(1 << 16)
-        except OSError as exc:
-            ended = type(exc).__name__
-            break
-        if not data:
-            ended = "end of stream"
-            break
-        got += len(data)
-    elapsed_s = time.monotonic() - sent_at
-    sock.close()
-    if not ended:
-        record.add(f"the answer to {attempt_id} is whole after {elapsed_s:.2f} s")
-        return True
-    record.add(
-        f"LOST: the connection of {attempt_id} ended ({ended}) after {elapsed_s:.2f} s, "
-        f"with {got} of {size} bytes read; node ended: {node.process.poll() is not None}"
-    )
-    return elapsed_s >= DEADLINE_S
+def press(record, deployment, limit):
+    """Send requests at two machines until the rule is broken or the time is over."""
+    answers, threads = [], []
+
+    def send(node):
+        answers.append(call(record, node, "GET", "/view/1", quiet=True)[1])
+
+    started_at = time.monotonic()
+    number = 0
+    while time.monotonic() < started_at + SECONDS and not limit.is_broken:
+        node = deployment.nodes[number % 2]
+        threads.append(threading.Thread(target=send, args=(node,), daemon=True))
+        threads[-1].start()
+        number += 1
+        time.sleep(max(started_at + number / REQUESTS_PER_S - time.monotonic(), 0))
+    for thread in threads:
+        thread.join(8)
+    record.add(f"sent {number}; answers by status {dict(collections.Counter(answers))}")
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,6 @@
-"""Clients that read slowly take nodes over their memory."""
+"""A stopping node accepts requests on public routes until it cuts them off."""
 
-import socket
+import signal
 import sys
 import threading
 import time
@@ -8,135 +8,79 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin"))
 
-from fleet import Closed, Fleet, HttpReader, answer, configuration, main, new_id
-from fleet import request_bytes, rule
+from fleet import Fleet, answer, call, configuration, main, rule
 
-MEMORY_MB = 300
-"""``memory_mb`` of the settings."""
-BODY = b"d" * (16 << 20)
-DEADLINE_S = 12.009
-"""Longest deadline of the sites (`status-check` on the large one)."""
-READING_S = 11.0
-"""Time over which a slow client reads its answer evenly, from its request on."""
-RECEIVE_BUFFER_BYTES = 1 << 16
-REQUESTS_PER_S = 2.5
-"""At each machine; 320 Mbit/s of its 1,000."""
-SECONDS = 75
-WORK_S = 0.13
-RESTART_S = 1.0
-WATCH_INTERVAL_S = 0.01
-TIMES = 3
-MACHINES = 2
-
-
-class MemoryLimit(threading.Thread):
-    """Does what the platform does: kills a process over its memory, and restarts it."""
-
-    def __init__(self, record, nodes):
-        super().__init__(daemon=True)
-        self.record = record
-        self.nodes = nodes
-        self.ends = {node.name: 0 for node in nodes}
-        self.most_mb = {node.name: 0.0 for node in nodes}
-        self.is_stopped = False
-
-    def run(self):
-        """Look at all processes until the end of the case."""
-        while not self.is_stopped:
-            for node in self.nodes:
-                memory_mb = node.memory_mb("VmRSS")
-                self.most_mb[node.name] = max(self.most_mb[node.name], memory_mb)
-                if memory_mb > MEMORY_MB:
-                    self._end(node, memory_mb)
-            time.sleep(WATCH_INTERVAL_S)
-
-    def _end(self, node, memory_mb):
-        node.process.kill()
-        node.process.wait()
-        self.ends[node.name] += 1
-        self.record.add(f"{node.name} has {memory_mb:.0f} of {MEMORY_MB} MB and is killed")
-        threading.Timer(RESTART_S, node.start).start()
-
-    @property
-    def is_broken(self):
-        """Whether enough machines ended often enough."""
-        return sum(ends >= TIMES for ends in self.ends.values()) >= MACHINES
+ZONES = {"negombo": "west-coast", "kandy": "hill-country"}
+WORK_S = 0.4
+"""Within the work of `pledge-record`: 210 ms on average, 1,600 ms at most."""
+REQUESTS_PER_S = 20
+GAP_S = 1.0
+GRACE_S = 6.0
+LAST_SENT_S = 5.5
+"""Clients send for so long after the first SIGTERM."""
 
 
 def work(sock, method, path, headers, body):
-    """Answer with a large body after the usual time."""
+    """Answer after the usual time."""
     time.sleep(WORK_S)
-    answer(sock, headers, BODY)
-
-
-def download(node, is_slow):
-    """Request a download and read it; return what became of it."""
-    started_at = time.monotonic()
-    try:
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-            sock.settimeout(DEADLINE_S)
-            sock.connect((node.ip, 8548))
-            deadline_ms = int(DEADLINE_S * 1000)
-            sock.sendall(request_bytes("GET", "/packs/1", new_id(), deadline_ms))
-            reader = HttpReader(sock)
-            first, headers = reader.head()
-            size, got = int(headers["content-length"]), len(reader.buffer)
-            while got < size:
-                ahead_s = READING_S * got / size - (time.monotonic() - started_at)
-                if is_slow and ahead_s > 0:
-                    time.sleep(ahead_s)
-                data = sock.recv(1 << 16)
-                if not data:
-                    return "cut off midway"
-                got += len(data)
-            return first.split(" ")[1]
-    except ConnectionRefusedError:
-        return "no connection"
-    except (OSError, Closed) as exc:
-        return f"no answer ({type(exc).__name__})"
+    answer(sock, headers)
 
 
 def run(record, trouble):
-    """Return whether the processes stay within their memory."""
-    services = ["carepacks", "carepacks", "profiles", "profiles"]
-    rules = [rule("r-packs", "/packs/", "carepacks", "download", "12009ms")]
-    cfg = configuration(rules, ["profiles", "carepacks"])
-    deployment = Fleet(record, services, cfg, work)
+    """Return whether each request that ran was answered."""
+    # Machines 0, 2 and 4 are in the first zone, 1 and 3 in the second.
+    services = ["profiles", "pledges", "profiles", "pledges", "pledges"]
+    rules = [rule("r-form", "/form/", "pledges", "non_idempotent", public=True)]
+    cfg = configuration(rules, ["profiles", "pledges"])
+    deployment = Fleet(record, services, cfg, work, slots=80, zones=ZONES)
     for target in deployment.targets:
         target.log_runs = False
     try:
         deployment.start()
-        limit = MemoryLimit(record, deployment.nodes)
-        limit.start()
-        ends, threads = {}, []
-
-        def send(node):
-            end = download(node, trouble)
-            ends[end] = ends.get(end, 0) + 1
-
-        started_at = time.monotonic()
-        number = 0
-        while time.monotonic() < started_at + SECONDS and not limit.is_broken:
-            for node in deployment.nodes[:MACHINES]:
-                if node.is_ready():
-                    threads.append(threading.Thread(target=send, args=(node,), daemon=True))
-                    threads[-1].start()
-            number += 1
-            time.sleep(max(started_at + number / REQUESTS_PER_S - time.monotonic(), 0))
-        for thread in threads:
-            thread.join(DEADLINE_S + 1)
-        limit.is_stopped = True
-        limit.join()
-        peaks = {name: round(most) for name, most in limit.most_mb.items()}
-        record.add(f"downloads by end {ends}")
-        record.add(f"most memory in MB {peaks}; ends {limit.ends}")
-        if limit.is_broken:
-            record.add(f"FAULT: {MACHINES} machines went over their memory {TIMES} times")
-        return not limit.is_broken
+        return stop_in_turn(record, deployment, trouble)
     finally:
         deployment.stop()
 
 
+def stop_in_turn(record, deployment, trouble):
+    """Stop two of the three machines of a zone in turn, under load."""
+    node, second = deployment.nodes[0], deployment.nodes[2]
+    answers, threads = [], []
+    started_at = time.monotonic()
+
+    def send():
+        sent_s = time.monotonic() - started_at
+        attempt_id, status = call(record, node, "POST", "/form/1", body=b"p", quiet=True)
+        answers.append((sent_s, time.monotonic() - started_at, attempt_id, status))
+
+    if trouble:
+        node.send_signal(signal.SIGTERM)
+        record.add(f"{node.name} gets SIGTERM; it has {GRACE_S} s")
+    is_second_stopped = not trouble
+    while (elapsed_s := time.monotonic() - started_at) < LAST_SENT_S:
+        if elapsed_s >= GAP_S and not is_second_stopped:
+            is_second_stopped = True
+            second.send_signal(signal.SIGTERM)
+            record.add(f"{second.name} gets SIGTERM: fewer than half of its zone are in")
+        threads.append(threading.Thread(target=send, daemon=True))
+        threads[-1].start()
+        time.sleep(1 / REQUESTS_PER_S)
+    for thread in threads:
+        thread.join(8)
+    ran = {}
+    for target in deployment.targets:
+        for at, attempt_id, _ in target.runs:
+            ran[attempt_id] = at - started_at, target.instance
+    record.add(f"sent {len(answers)}, answered 200: {sum(a[3] == 200 for a in answers)}")
+    lost = [item for item in sorted(answers) if item[3] == 0 and item[2] in ran]
+    for sent_s, ended_s, attempt_id, _ in lost:
+        at_s, instance = ran[attempt_id]
+        record.add(
+            f"LOST: {attempt_id}, sent {sent_s:.2f} s after the SIGTERM, ran at {instance} "
+            f"from {at_s:.2f} s on; its connection ended at {ended_s:.2f} s, unanswered"
+        )
+    return not lost
+
+
 if __name__ == "__main__":
     main(run)
