--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,6 +19,8 @@
 GARBLING_TARGETS = 2
 """Of 4: a share of 0.5."""
 GARBLED_ANSWERS = 0.05
+GARBLE_S = 5.0
+PAUSE_S = 1.0
 CHUNK = b"z" * 65536
 WORK_S = 0.16
 SECONDS = 85
@@ -106,13 +108,11 @@
     deployment = Fleet(record, services, cfg, work, slots=64)
     for target in deployment.targets:
         target.log_runs = False
-    for target in deployment.targets[-GARBLING_TARGETS:]:
-        target.garbles = trouble
     try:
         deployment.start()
         limit = MemoryLimit(record, deployment.nodes)
         limit.start()
-        press(record, deployment, limit)
+        press(record, deployment, limit, trouble)
         limit.is_stopped = True
         limit.join()
         peaks = {name: round(most) for name, most in limit.most_mb.items()}
@@ -125,7 +125,7 @@
         deployment.stop()
 
 
-def press(record, deployment, limit):
+def press(record, deployment, limit, trouble):
     """Send requests at two machines until the rule is broken or the time is over."""
     answers, threads = [], []
 
@@ -135,6 +135,10 @@
     started_at = time.monotonic()
     number = 0
     while time.monotonic() < started_at + SECONDS and not limit.is_broken:
+        elapsed_s = time.monotonic() - started_at
+        is_window = elapsed_s % (GARBLE_S + PAUSE_S) < GARBLE_S
+        for target in deployment.targets[-GARBLING_TARGETS:]:
+            target.garbles = trouble and is_window
         node = deployment.nodes[number % 2]
         threads.append(threading.Thread(target=send, args=(node,), daemon=True))
         threads[-1].start()
