Free the memory of closed connections and ended calls at once

Cause: cycles of references kept what a closed connection had received until the garbage collector ran, which counts objects and not bytes. A reader and its httptools parser refer to each other, and so do the owner of a state chart and its instance. The error for a body over its limit was raised again from the error that wraps it, so that the two, and the frames of their tracebacks, referred to each other too.

Change: a finished chart instance drops its owner; a closed connection drops its parser, buffers and request; the error is raised anew. The same holds for requests of callers that disconnect, and for calls and executions that have ended.

--- a/src/monsoonmill/chart.py
+++ b/src/monsoonmill/chart.py
@@ -333,6 +333,10 @@
                 self.state = step.state
             if step.callback is not None:
                 step.callback(owner, arg)
+        if self.finished:
+            # The owner refers to its instance. Without this the two would stay in
+            # memory, with the owner's data, until the garbage collector runs.
+            self._owner = None
 
 
 def _count_common_ancestors(source_path, target_path):
--- a/src/monsoonmill/http1/client.py
+++ b/src/monsoonmill/http1/client.py
@@ -128,8 +128,10 @@
         self._pool.add_idle(self)
 
     def close_socket(self, arg):
-        """Close the socket and remove the connection from the pool."""
+        """Close the socket, leave the pool and drop what is buffered."""
         self._pool.close_connection(self)
+        self._reader.release()
+        self._send_buffer.clear()
 
     def _fail(self, failure):
         self._report(RunFinished(self.call.attempt, None, failure))
--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -57,11 +57,23 @@
             self._parser.feed_data(data)
         except HttpParserError as exc:
             # httptools wraps an error that a callback raises; the original is its
-            # context.
-            if isinstance(exc.__context__, HttpMessageTooLargeError):
-                raise exc.__context__ from exc
+            # context. It is not raised again: the two errors would refer to each
+            # other, and through their tracebacks keep the received bytes in memory.
+            error = exc.__context__
+            if isinstance(error, HttpMessageTooLargeError):
+                raise HttpMessageTooLargeError(error.part, error.limit_bytes) from None
             raise InvalidHttpMessageError(str(exc)) from exc
 
+    def release(self) -> None:
+        """Drop the parser and what was received, since the connection is closed.
+
+        The parser and the reader refer to each other. Only the garbage collector
+        would free them, and it runs by the number of objects, not by their size.
+        """
+        self._parser = None
+        self.headers = []
+        self.body = bytearray()
+
     def take_body(self) -> bytes:
         """Return the body of a complete message and release its buffer."""
         body = bytes(self.body)
@@ -127,6 +139,11 @@
         self.requests: deque[tuple[HttpRequest, bool]] = deque()
         self._parser = HttpRequestParser(self)
 
+    def release(self) -> None:
+        """Drop the complete requests too."""
+        super().release()
+        self.requests.clear()
+
     def on_message_complete(self):
         """Append the request."""
         self._has_progressed = True
@@ -154,6 +171,11 @@
         self.responses: deque[tuple[HttpResponse, bool]] = deque()
         self._parser = HttpResponseParser(self)
 
+    def release(self) -> None:
+        """Drop the complete responses too."""
+        super().release()
+        self.responses.clear()
+
     def on_message_complete(self):
         """Append the response, unless it is an interim (1xx) response."""
         self._has_progressed = True
--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -108,8 +108,11 @@
         self.signals.append(CallerDisconnected(self.call))
 
     def close_socket(self, arg):
-        """Close the socket and remove the connection from the server."""
+        """Close the socket, leave the server and drop what is buffered."""
         self._server.close_connection(self)
+        self.reader.release()
+        self._send_buffer.clear()
+        self._req = None
 
     # Called by the server and the node's task.
     def on_ready(self, mask: int, now: float):
--- a/tests/integration/test_uploads.py
+++ b/tests/integration/test_uploads.py
@@ -1,12 +1,18 @@
 """Uploads through node processes: many at once, cut, refused and with Expect."""
 
-from pathlib import Path
 from socket import create_connection
 from threading import Thread
 
 import pytest
 
-from tests.platform_fleet import PlatformFleet, configuration, rule, tenant, wait_until
+from tests.platform_fleet import (
+    PlatformFleet,
+    configuration,
+    peak_memory_mb,
+    rule,
+    tenant,
+    wait_until,
+)
 
 pytestmark = pytest.mark.integration
 
@@ -14,7 +20,6 @@
 """Largest body of the users' uploads."""
 UPLOADS = 100
 MAX_MEMORY_MB = 120
-MEMORY_MB = 300
 
 
 @pytest.fixture(scope="module")
@@ -23,9 +28,6 @@
     with PlatformFleet(tmp_path_factory.mktemp("fleet"), services) as fleet:
         rules = (rule("/up/", "uploads", kind="upload", timeout="8000ms"),)
         fleet.put_config(configuration(3, rules, ("uploads",), [tenant()]))
-        for host in fleet.hosts:
-            with open(host.node_file, "a", encoding="utf-8") as node_file:
-                node_file.write(f"[limits]\nmemory_mb = {MEMORY_MB}\n")
         fleet.start()
         wait_until(lambda: upload(fleet.hosts[0], "first", b"x").status == 200)
         yield fleet
@@ -37,13 +39,6 @@
     )
 
 
-def peak_memory_mb(host):
-    """Return the peak resident memory of a node process."""
-    status = Path(f"/proc/{host.process.pid}/status").read_text(encoding="ascii")
-    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
-    return int(line.split()[1]) / 1024
-
-
 def raw_upload(request_id, headers=b""):
     return (
         b"POST /up/1 HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer secret\r\n"
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -5,6 +5,7 @@
 
 from json import dumps
 from os import environ
+from pathlib import Path
 from selectors import DefaultSelector
 from signal import SIGTERM
 from subprocess import PIPE, Popen
@@ -27,6 +28,8 @@
 HOST = "127.0.0.1"
 LIMITS = ConnectionLimits(65536, 1 << 24, 60.0, 10.0)
 HEARTBEAT_INTERVAL_S = 0.3
+MEMORY_MB = 300
+"""Memory of a node's process on the users' platform."""
 SELECT_TIMEOUT_S = 0.005
 NODE_FILE = """
 node_name = "{name}"
@@ -44,6 +47,8 @@
 control_plane = "{host}:{control}"
 [platform]
 address = "{store_host}:{store}"
+[limits]
+memory_mb = {memory_mb}
 """
 
 
@@ -202,6 +207,7 @@
                 region="r1",
                 service=service,
                 store=self.store_port,
+                memory_mb=MEMORY_MB,
                 **ports,
             )
         )
@@ -298,6 +304,13 @@
         return (self.directory / f"{host.name}.log").read_text()
 
 
+def peak_memory_mb(host):
+    """Return the peak resident memory of a node process."""
+    status = Path(f"/proc/{host.process.pid}/status").read_text(encoding="ascii")
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1]) / 1024
+
+
 def wait_until(condition, limit_s=10.0):
     """Wait until a condition holds; fail after the time limit."""
     deadline = monotonic() + limit_s
--- a/tests/test_chart.py
+++ b/tests/test_chart.py
@@ -1,5 +1,8 @@
 """Tests of the state chart interpreter."""
 
+import gc
+from weakref import ref
+
 from monsoonmill.chart import Chart
 from monsoonmill.errors import ChartError
 
@@ -63,3 +66,46 @@
     assert door.send("force", 1) and door.finished
     assert not door.send("force", 2)
     assert recorded == [1]
+
+
+class OneShot:
+    """Owner of an instance whose chart ends with its first event."""
+
+    CHART = Chart.from_yaml(
+        """
+statechart:
+  name: one_shot
+  root state:
+    name: one_shot
+    initial: pending
+    states:
+      - name: pending
+        transitions:
+          - {event: end, target: ended, action: record}
+      - name: ended
+        type: final
+        on entry: record
+"""
+    )
+
+    def __init__(self):
+        self.recorded = []
+        bound = self.CHART.bind({"record": OneShot.record})
+        self.chart = bound.start(self)
+
+    def record(self, arg):
+        self.recorded.append(arg)
+
+
+def test_owner_of_a_finished_instance_is_freed_without_the_garbage_collector():
+    gc.disable()
+    try:
+        owner = OneShot()
+        assert owner.chart.send("end", 1)
+        assert owner.recorded == [1, 1]
+        assert not owner.chart.send("end", 2)
+        reference = ref(owner)
+        del owner
+        assert reference() is None
+    finally:
+        gc.enable()
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,16 +1,22 @@
 """Backend servers that send bytes without end, answer early, or send extra bytes."""
 
-from socket import create_server
+import gc
+import tracemalloc
+from contextlib import contextmanager
+from socket import create_connection, create_server
 from threading import Event, Thread
 from time import monotonic
 
 import pytest
+from attrs import evolve
 
-from monsoonmill.decisions.calls.signals import RunCall, RunFailure
+from monsoonmill.decisions.calls.signals import CallArrived, RunCall, RunFailure
 from monsoonmill.errors import HttpMessageTooLargeError
 from monsoonmill.http1.client import BackendPool
 from monsoonmill.http1.messages import ConnectionLimits
 from monsoonmill.http1.parsing import RequestReader, ResponseReader
+from monsoonmill.http1.server import WebApp, WebServer
+from monsoonmill.load.launcher import free_port
 from monsoonmill.model import Address, HttpRequest
 from monsoonmill.platform.backend import PlatformBackendProtocol
 from tests.test_http_engine import HOST, SIGNED, ComponentLoop
@@ -284,3 +290,61 @@
     loop.dispatch(loop.component.on_run, make_call(server.address, "1"))
     loop.run_until(lambda: loop.signals)
     assert loop.signals[0].response.body == b"ok"
+
+
+# Memory of closed connections. They must not wait for the garbage collector, which
+# counts objects and not their sizes.
+@contextmanager
+def no_garbage_collection():
+    """Turn the collector off and yield a function for the bytes allocated since."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    try:
+        yield lambda: tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
+@pytest.mark.parametrize(
+    ("start", "filler"),
+    [(SIGNED % b"1" + b"\r\n", CHUNK), (b"HTTP/1.1 200 OK\r\nX-Long: ", CHUNK)],
+)
+def test_endless_responses_are_freed_when_their_connections_close(start, filler):
+    limits = evolve(LIMITS, max_body_bytes=1 << 21, max_header_bytes=1 << 18)
+    server = ServerThread(EndlessSender(start, filler))
+    with no_garbage_collection() as allocated_bytes:
+        loop = make_loop(limits)
+        for number in range(8):
+            call = make_call(server.address, str(number))
+            loop.dispatch(loop.component.on_run, call)
+            loop.run_until(lambda count=number + 1: len(loop.signals) == count)
+        assert allocated_bytes() < limits.max_body_bytes
+
+
+@pytest.mark.parametrize("is_complete", [False, True])
+def test_requests_of_callers_that_disconnect_are_freed(is_complete):
+    class PendingApp(WebApp):
+        def handle(self, name, req):
+            return CallArrived(name, "s", HttpRequest(req.method, req.path))
+
+        def render(self, answer):
+            return answer.response
+
+    size = 1 << 20
+    limits = evolve(LIMITS, max_body_bytes=size)
+    server = WebServer(Address(HOST, free_port()), PendingApp(), limits)
+    loop = ComponentLoop(server)
+    head = b"POST /x HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size
+    sent_bytes = size if is_complete else size - 1000
+    with no_garbage_collection() as allocated_bytes:
+        for _ in range(8):
+            sock = create_connection((HOST, server._address.port), timeout=3.0)
+            Thread(target=sock.sendall, args=(head + b"u" * sent_bytes,)).start()
+            loop.run_until(lambda: server.budget.total_bytes >= sent_bytes)
+            sock.close()
+            loop.run_until(lambda: not server._conns)
+        assert allocated_bytes() < 2 * size
+    server.close()
