Give up a response whose head can't be an answer's

Cause: a response without the request's id, without a signature or with an encoding was taken in whole before it was judged, up to 64 MiB, though its head decides.

Change: the connection judges the head of a response that is still being received. If it is invalid, or belongs to another request and only ends with the connection, the request ends as a broken answer at once.

--- a/src/monsoonmill/http1/client.py
+++ b/src/monsoonmill/http1/client.py
@@ -79,6 +79,7 @@
         self._send_buffer = bytearray()
         self._mask = EVENT_READ | EVENT_WRITE
         self._allows_reuse = True
+        self._checked_headers: list | None = None
         self.chart = BACKEND_CHART.start(self)
 
     # Guards and actions.
@@ -227,6 +228,8 @@
             self.close_broken()
             return
         self._process_responses(now)
+        if not self.chart.finished:
+            self._check_incomplete_head()
 
     def _process_responses(self, now):
         while self._reader.responses and not self.chart.finished:
@@ -236,6 +239,23 @@
                 return
             self._process_response(resp, keeps_alive, now)
 
+    def _check_incomplete_head(self):
+        """Close the connection if the response being received can't be an answer.
+
+        Its body is not awaited, since it may be long or have no end.
+        """
+        if self._checked_headers is self._reader.headers:
+            return
+        head = self._reader.incomplete_head()
+        if head is None:
+            return
+        self._checked_headers = self._reader.headers
+        kind = self._pool.protocol.classify(self.call, head)
+        is_last = not self._reader.has_length()
+        if kind is ResponseKind.INVALID or (kind is ResponseKind.UNMATCHED and is_last):
+            log.info("unusable_response", attempt=self.call.attempt, status=head.status)
+            self.close_broken()
+
     def _process_response(self, resp, keeps_alive, now):
         protocol = self._pool.protocol
         kind = protocol.classify(self.call, resp)
--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -183,6 +183,18 @@
             self._append(self._parser.should_keep_alive())
         self.is_idle = True
 
+    def incomplete_head(self) -> HttpResponse | None:
+        """Return the response that is being received, without its body.
+
+        Returns
+        -------
+        HttpResponse or None
+            None if its headers are not complete yet, or no response is incomplete.
+        """
+        if self.is_idle or not self.has_headers:
+            return None
+        return HttpResponse(self._parser.get_status_code(), tuple(self.headers), b"")
+
     def feed_eof(self) -> bool:
         """Process the end of the stream.
 
@@ -192,13 +204,14 @@
             Whether it completes a response whose body extends to the end of the
             stream.
         """
-        if self.is_idle or not self.has_headers or self._has_length():
+        if self.is_idle or not self.has_headers or self.has_length():
             return False
         self._append(False)
         self.is_idle = True
         return True
 
-    def _has_length(self):
+    def has_length(self) -> bool:
+        """Return whether the current response ends before its connection does."""
         names = {name.lower() for name, _ in self.headers}
         return "content-length" in names or "transfer-encoding" in names
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -175,6 +175,46 @@
     assert failures == {RunFailure.BROKEN_ANSWER}
 
 
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Monsoonmill-Attempt-Id: 1\r\n\r\n",
+        SIGNED % b"another" + b"\r\n",
+        SIGNED % b"1" + b"Content-Encoding: gzip\r\n\r\n",
+    ],
+)
+def test_response_that_is_no_answer_is_given_up_before_its_endless_body(start):
+    sender = EndlessSender(start, CHUNK)
+    server = ServerThread(sender)
+    loop = make_loop()
+    loop.dispatch(loop.component.on_run, make_call(server.address, "1"))
+    received = 0
+
+    def has_failed():
+        nonlocal received
+        received = max(received, loop.component.buffered_bytes)
+        return loop.signals
+
+    loop.run_until(has_failed)
+    assert loop.signals[0].failure is RunFailure.BROKEN_ANSWER
+    assert received <= 65536
+
+
+def test_answer_behind_a_long_response_to_another_request_is_reported():
+    late = SIGNED % b"0" + b"Content-Length: 200000\r\n\r\n"
+
+    def serve(sock):
+        sock.recv(65536)
+        sock.sendall(late + b"b" * 200_000 + ANSWER % b"1")
+
+    server = ServerThread(serve)
+    loop = make_loop()
+    loop.dispatch(loop.component.on_run, make_call(server.address, "1"))
+    loop.run_until(lambda: loop.signals)
+    assert loop.signals[0].response.body == b"ok"
+
+
 def test_single_body_may_exceed_the_shared_budget():
     size = 3 << 20
 
