Refuse calls that may outlast the drain of a stopping node

Cause: calls of backend servers come without a key over public routes, so a draining node let these routes through without a limit in time. Calls with a context were never refused, and between the end of a drain and the exit of the process nothing was.

Change: the end of a drain is known from its request on. A draining node accepts calls on open routes and nested calls only if their deadline lies 0.2 s before that end, and none after the drain. The others get 503 draining, which is true.

--- a/src/monsoonmill/decisions/calls/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -21,6 +21,9 @@
 
 DRAINING_RETRY_S = 1.0
 """Callers that retry after this time reach other nodes."""
+DRAIN_MARGIN_S = 0.2
+"""Time before the end of a drain at which the last accepted call has its deadline, so
+that its answer is written before the process exits."""
 
 
 class CallChecks:
@@ -28,9 +31,11 @@
 
     Attributes
     ----------
-    draining : bool
-        Whether the node is draining and refuses calls from outside, except on open
-        routes.
+    drain_ends_at : float or None
+        Time at which a draining node ends at the latest, whatever still runs; None if
+        calls are accepted. A draining node refuses calls that need a key. It accepts
+        nested calls, and those on open routes, which may be nested, if their deadline
+        lets them be answered before.
     """
 
     def __init__(
@@ -43,7 +48,7 @@
         entry_limit: EntryLimit,
         running_requests: RunningRequests,
     ):
-        self.draining = False
+        self.drain_ends_at: float | None = None
         self._cfg = cfg
         self._authorization = authorization
         self._contexts = contexts
@@ -65,6 +70,7 @@
         is_nested = bool(arrival.context)
         resolve = self._resolve_nested_call if is_nested else self._resolve_root_call
         route, caller, context = resolve(arrival, now)
+        self._check_drain(context.deadline)
         fingerprint = self._fingerprint(arrival)
         if context.deadline <= now:
             raise CallRefusedError(Reason.DEADLINE)
@@ -85,7 +91,7 @@
 
     def _resolve_root_call(self, arrival, now):
         route = self._authorization.find_route(arrival)
-        if self.draining and not route.open:
+        if self.drain_ends_at is not None and not route.open:
             raise CallRefusedError(Reason.DRAINING, retry_after_s=DRAINING_RETRY_S)
         caller = self._authorization.identify(route, arrival.bearer)
         return route, caller, self._root_context(arrival, route, caller, now)
@@ -97,6 +103,18 @@
         self._authorization.check_organisation(route, caller.organisation)
         return route, caller, self._nested_context(arrival, route, context, now)
 
+    def _check_drain(self, deadline):
+        """Refuse a call that may still run when the drain ends.
+
+        Raises
+        ------
+        CallRefusedError
+            The node is draining and may end before the call's deadline.
+        """
+        ends_at = self.drain_ends_at
+        if ends_at is not None and deadline > ends_at - DRAIN_MARGIN_S:
+            raise CallRefusedError(Reason.DRAINING, retry_after_s=DRAINING_RETRY_S)
+
     def _fingerprint(self, arrival):
         req = arrival.request
         fingerprint = fingerprint_request(
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -102,9 +102,19 @@
             PeerUnreachable: self.on_peer_unreachable,
         }
 
+    def start_draining(self, ends_at: float) -> None:
+        """Refuse new calls that may not be answered before the drain ends.
+
+        Parameters
+        ----------
+        ends_at : float
+            Time in seconds at which the drain ends at the latest.
+        """
+        self._checks.drain_ends_at = ends_at
+
     def stop_accepting(self) -> None:
-        """Refuse new calls from outside, since the node is draining."""
-        self._checks.draining = True
+        """Refuse all new calls, since the process is about to exit."""
+        self._checks.drain_ends_at = float("-inf")
 
     @property
     def in_progress(self) -> int:
--- a/src/monsoonmill/decisions/lifecycle/draining.py
+++ b/src/monsoonmill/decisions/lifecycle/draining.py
@@ -38,6 +38,7 @@
         self._counters = counters
         self._timers = Timers()
         self._outgoing = []
+        self._ends_at = float("inf")
         self._chart = DRAIN_CHART.start(self)
 
     def handlers(self):
@@ -73,14 +74,16 @@
         self._outgoing.append(SelfLeaving())
 
     def start_settle_timer(self, now):
-        """Give the announcement time to spread."""
-        self._timers.set(SETTLE_TIMEOUT, now + self._cfg.settle_ms / 1000)
+        """Give the announcement time to spread; a late timer doesn't delay the end."""
+        settled_at = now + self._cfg.settle_ms / 1000
+        self._ends_at = settled_at + self._cfg.limit_s
+        self._timers.set(SETTLE_TIMEOUT, settled_at)
 
     def stop_accepting_work(self, now):
-        """Refuse new calls and let the running ones finish."""
-        self._calls.stop_accepting()
+        """Refuse calls that may not end in time, and let the running ones finish."""
+        self._calls.start_draining(self._ends_at)
         self._executions.draining = True
-        self._timers.set(DRAIN_TIMEOUT, now + self._cfg.limit_s)
+        self._timers.set(DRAIN_TIMEOUT, self._ends_at)
         self._timers.set(IDLE_CHECK, now)
 
     def count_unfinished(self, now):
@@ -89,7 +92,8 @@
         self._counters.add("cut-off-by-drain", unfinished)
 
     def report_drained(self, now):
-        """Signal that the process may exit."""
+        """Refuse all new calls and signal that the process may exit."""
+        self._calls.stop_accepting()
         self._timers.cancel(DRAIN_TIMEOUT)
         self._outgoing.append(Drained())
 
--- /dev/null
+++ b/tests/integration/test_platform_drain.py
@@ -0,0 +1,58 @@
+"""A planned stop of a node under load, with the stand-ins of the users' platform."""
+
+from concurrent.futures import ThreadPoolExecutor
+from threading import Event
+
+import pytest
+from urllib3.exceptions import HTTPError
+
+from tests.platform_fleet import PlatformFleet, configuration, rule, tenant, wait_until
+
+pytestmark = pytest.mark.integration
+
+CALL_INTERVAL_S = 0.05
+WORK_S = 0.4
+EXIT_TIMEOUT_S = 7.0
+
+
+def post_form(host, number):
+    """Send a request on a public route; return its id and status, None without one."""
+    request_id = f"form-{number}"
+    try:
+        resp = host.call(
+            f"/form/{number}", "POST", key="", request_id=request_id, deadline="5000"
+        )
+    except HTTPError:
+        return request_id, None
+    return request_id, resp.status
+
+
+# A stopping node passed on requests on public routes until the process ended, and
+# closed their connections without an answer.
+def test_stopping_node_answers_each_public_request_that_runs(tmp_path):
+    with PlatformFleet(tmp_path, ("profiles", "pledges", "pledges")) as fleet:
+        rules = (rule("/form/", "pledges", kind="non_idempotent", public=True),)
+        fleet.put_config(configuration(3, rules, ("profiles", "pledges"), [tenant()]))
+        fleet.start()
+        host = fleet.hosts[0]
+        wait_until(lambda: post_form(host, "first")[1] == 200)
+        for other in fleet.hosts:
+            other.backend_app.behaviour.work_s = WORK_S
+        fleet.stop(host)
+        pace = Event()
+        with ThreadPoolExecutor(64) as threads:
+            results = []
+            for number in range(round(EXIT_TIMEOUT_S / CALL_INTERVAL_S)):
+                if host.process.poll() is not None:
+                    break
+                results.append(threads.submit(post_form, host, number))
+                pace.wait(CALL_INTERVAL_S)
+            answers = dict(result.result() for result in results)
+        assert host.process.poll() == 0
+        ran = {run.request_id for run in fleet.runs("pledges")} - {"form-first"}
+        assert len(ran) > 20
+        assert {answers[request_id] for request_id in ran} == {200}
+        assert {answers[request_id] for request_id in answers.keys() - ran} <= {
+            503,
+            None,
+        }
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,5 +1,6 @@
 """Calls through the decisions of several nodes, from request to answer."""
 
+import pytest
 from attrs import evolve
 
 from monsoonmill.decisions.calls.signals import RunFailure, RunFinished
@@ -82,6 +83,81 @@
     assert len(fleet.executed) - before == 20
 
 
+def finish_settling(fleet, node):
+    """Request a drain and advance the clock until it accepts no more work."""
+    fleet.inject(node, DrainRequested())
+    fleet.advance(node.core.draining._cfg.settle_ms / 1000 + 0.01)
+
+
+SHORT_DRAIN = {"settle_ms": 500, "limit_s": 3}
+
+
+# A draining node went on to accept calls on open routes until it cut them off.
+@pytest.mark.parametrize(
+    ("timeout_ms", "is_accepted"), [(5000, False), (2950, False), (2000, True)]
+)
+def test_draining_node_accepts_a_call_on_an_open_route_if_it_can_end(
+    timeout_ms, is_accepted
+):
+    def never_answer(node, call):
+        return None
+
+    fleet, nodes = make_fleet(run=never_answer, drain=SHORT_DRAIN)
+    finish_settling(fleet, nodes[0])
+    name = fleet.call(nodes[0], "donkeys", "/open/1", timeout_ms=timeout_ms)
+    assert fleet.advance_until(lambda: nodes[0].drained)
+    answer = nodes[0].answers[name]
+    assert len(fleet.executed) == is_accepted
+    if is_accepted:
+        assert answer.reason is Reason.DEADLINE
+    else:
+        assert (answer.outcome, answer.reason) == (Outcome.NOT_RUN, Reason.DRAINING)
+
+
+def test_no_call_on_an_open_route_is_cut_off_by_the_end_of_a_drain():
+    def answer_late(node, call):
+        return answer_ok(node, call, delay_s=0.4)
+
+    fleet, nodes = make_fleet(run=answer_late, drain=SHORT_DRAIN)
+    leaving = nodes[0]
+    fleet.inject(leaving, DrainRequested())
+    names = []
+    while not leaving.drained:
+        names.append(fleet.call(leaving, "donkeys", "/open/1", timeout_ms=1000))
+        fleet.advance(0.05)
+    # The process takes some time to exit.
+    names.append(fleet.call(leaving, "donkeys", "/open/1", timeout_ms=1000))
+    assert set(names) == set(leaving.answers)
+    done = [name for name in names if leaving.answers[name].outcome is Outcome.DONE]
+    assert len(done) == len(fleet.executed)
+
+
+def test_draining_node_accepts_a_nested_call_if_it_can_end():
+    tokens = []
+
+    def hold_first(node, call):
+        if tokens:
+            return answer_ok(node, call)
+        tokens.append((node, call.context))
+        return None
+
+    fleet, nodes = make_fleet(run=hold_first, drain=SHORT_DRAIN)
+    fleet.call(nodes[0], "donkeys", "/lookup/1", bearer=SECRET, timeout_ms=5000)
+    fleet.advance(0.1)
+    ((parent_node, token),) = tokens
+    leaving = fleet.nodes[parent_node.name]
+    finish_settling(fleet, leaving)
+    names = {
+        timeout_ms: fleet.call(
+            leaving, "donkeys", "/lookup/2", context=token, timeout_ms=timeout_ms
+        )
+        for timeout_ms in (None, 2000)
+    }
+    assert fleet.advance_until(lambda: leaving.drained)
+    assert leaving.answers[names[None]].reason is Reason.DRAINING
+    assert leaving.answers[names[2000]].outcome is Outcome.DONE
+
+
 def test_killed_node_is_detected_by_all_others():
     fleet, nodes = make_fleet()
     fleet.kill(nodes[2])
