Keep a deregistration that comes before the first heartbeat

Cause: leaving processes are known by instance and start time, and the start time was taken from the last heartbeat. Without one of this instance the deregistration was dropped.

Change: it is kept with the time of day at which it came. Processes of the instance that were started until then leave, for 60 s; they don't replace another instance that is known. Known processes are told apart by their exact start time as before.

--- a/src/monsoonmill/decisions/lifecycle/backend_identity.py
+++ b/src/monsoonmill/decisions/lifecycle/backend_identity.py
@@ -2,11 +2,15 @@
 
 A heartbeat may arrive late, even after its process has ended. A backend server
 that has reported that it leaves does not return as the same process.
+
+A deregistration names an instance, but not the start of its process. If this node
+knows no heartbeat of the instance, for example since it was restarted itself, the
+deregistration is kept for the processes that were started before it.
 """
 
 from collections import OrderedDict
 
-from attrs import define
+from attrs import define, frozen
 
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.lifecycle.signals import BackendHeartbeat
@@ -15,7 +19,10 @@
 from monsoonmill.model import Address
 
 MAX_LEAVING_PROCESSES = 256
-"""Number of processes that are remembered as leaving."""
+"""Number of processes, and of deregistrations, that are remembered."""
+LATE_HEARTBEAT_S = 60.0
+"""A heartbeat that arrives this long after a deregistration was sent after it: it
+comes from another process, whatever start it states."""
 
 log = get_logger("backend")
 
@@ -33,12 +40,29 @@
     leaves: bool
 
 
+@frozen
+class UnknownDeregistration:
+    """Deregistration of an instance of which no heartbeat was known.
+
+    Attributes
+    ----------
+    received_ms : int
+        Time of day in Unix milliseconds; its process had been started by then.
+    expires_at : float
+        Monotonic time in seconds at which it is forgotten.
+    """
+
+    received_ms: int
+    expires_at: float
+
+
 class BackendIdentity(Decision):
     """Turns numbered heartbeats into announcements of the current process."""
 
     def __init__(self):
         self._current: BackendProcess | None = None
         self._leaving: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._deregistered: OrderedDict[str, UnknownDeregistration] = OrderedDict()
 
     def handlers(self):
         """Return the handlers of this decision."""
@@ -49,17 +73,18 @@
 
     def on_heartbeat(self, signal: BackendHeartbeat, now: float):
         """Announce the backend server unless the heartbeat is outdated."""
-        if self._is_outdated(signal):
+        if self._is_outdated(signal, now):
             log.info(
                 "heartbeat_ignored",
                 instance=signal.instance,
                 sequence=signal.sequence,
-                reason="older than the current process",
+                reason="not from the current process",
             )
             return
         if signal.leaves:
             self._record_leaving(signal.instance, signal.started_ms)
-        leaves = (signal.instance, signal.started_ms) in self._leaving
+        is_leaving = (signal.instance, signal.started_ms) in self._leaving
+        leaves = is_leaving or self._has_deregistered(signal, now)
         process = BackendProcess(
             signal.instance,
             signal.started_ms,
@@ -73,19 +98,36 @@
         self._current = process
         yield self._announcement()
 
-    def _is_outdated(self, signal):
+    def _is_outdated(self, signal, now):
         current = self._current
         if current is None:
             return False
+        if signal.instance != current.instance and self._has_deregistered(signal, now):
+            return True
         if signal.started_ms != current.started_ms:
             return signal.started_ms < current.started_ms
         is_same = signal.instance == current.instance
         return is_same and signal.sequence <= current.sequence
 
+    def _has_deregistered(self, signal, now):
+        """Return whether a process left before this node knew a heartbeat of it."""
+        deregistration = self._deregistered.get(signal.instance)
+        return (
+            deregistration is not None
+            and now < deregistration.expires_at
+            and signal.started_ms <= deregistration.received_ms
+        )
+
     def on_backend_deregistered(self, signal: BackendDeregistered, now: float):
-        """Announce that the backend server leaves, if it is the current process."""
+        """Record that a backend server leaves; announce it if it is the current one."""
         current = self._current
         if current is None or current.instance != signal.instance:
+            log.info("unknown_backend_server_leaves", instance=signal.instance)
+            self._deregistered[signal.instance] = UnknownDeregistration(
+                signal.received_ms, now + LATE_HEARTBEAT_S
+            )
+            if len(self._deregistered) > MAX_LEAVING_PROCESSES:
+                self._deregistered.popitem(last=False)
             return
         self._record_leaving(current.instance, current.started_ms)
         current.leaves = True
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -79,9 +79,16 @@
 
 @frozen
 class BackendDeregistered:
-    """A backend server deregistered itself."""
+    """A backend server deregistered itself.
+
+    Attributes
+    ----------
+    received_ms : int
+        Time of day of this host in Unix milliseconds.
+    """
 
     instance: str
+    received_ms: int
 
 
 @frozen
--- a/src/monsoonmill/platform/heartbeats.py
+++ b/src/monsoonmill/platform/heartbeats.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 from msgspec import Meta
 
+from monsoonmill.clock import Clock
 from monsoonmill.decisions.calls.signals import Answer
 from monsoonmill.decisions.lifecycle.signals import BackendHeartbeat
 from monsoonmill.decisions.signals import BackendDeregistered
@@ -70,10 +71,13 @@
     ----------
     address : Address
         Address on which the backend server of this host listens.
+    clock : Clock
+        Gives the time of day of deregistrations.
     """
 
-    def __init__(self, address: Address):
+    def __init__(self, address: Address, clock: Clock):
         self._address = address
+        self._clock = clock
 
     def request_signals(self, req: HttpRequest, now: float) -> Iterable[object]:
         """Yield the signal that a valid request causes."""
@@ -82,7 +86,7 @@
             if action == HEARTBEAT:
                 yield self._heartbeat(instance, req.body)
             elif action == DEREGISTER:
-                yield BackendDeregistered(instance)
+                yield BackendDeregistered(instance, self._clock.unix_ms())
         except MalformedMessageError as exc:
             log.warning("heartbeat_refused", instance=instance, error=str(exc))
 
--- a/src/monsoonmill/platform/program.py
+++ b/src/monsoonmill/platform/program.py
@@ -50,6 +50,7 @@
         self.node_file = node_file = NodeFile.from_file(path)
         cfg = node_file.settings
         self._stopped = Event()
+        clock = SystemClock()
         self.core = NodeCore(
             cfg,
             cfg.node.peer_address,
@@ -73,7 +74,7 @@
             WebServer(node_file.readiness_address, ReadinessApp(self.is_ready), limits),
             WebServer(
                 node_file.heartbeats_address,
-                HeartbeatApp(node_file.backend_address),
+                HeartbeatApp(node_file.backend_address, clock),
                 limits,
             ),
             WebServer(node_file.operators_address, operator_app, limits),
@@ -93,7 +94,7 @@
             cfg,
             self.core,
             MsgpackCodec(PEER_MESSAGES),
-            SystemClock(),
+            clock,
             components,
             KvClient.from_settings,
         )
--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from monsoonmill.clock import SystemClock
+from monsoonmill.clock import ManualClock, SystemClock
 from monsoonmill.decisions.configuration.pending_note import CONFIG_KEY
 from monsoonmill.decisions.signals import (
     PlatformDone,
@@ -201,7 +201,7 @@
 
 
 def test_unreadable_heartbeat_is_answered():
-    app = HeartbeatApp(Address("10.0.0.1", 8080))
+    app = HeartbeatApp(Address("10.0.0.1", 8080), ManualClock())
     path = "/monsoonmill/instances/i-1/heartbeat"
     for body in (b"\xff", NESTED.encode(), b""):
         req = HttpRequest("POST", path, (), body)
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from monsoonmill.clock import ManualClock
 from monsoonmill.decisions.calls.signals import Answer, CallArrived, RunCall
 from monsoonmill.decisions.lifecycle.signals import BackendHeartbeat
 from monsoonmill.decisions.signals import BackendDeregistered
@@ -122,7 +123,7 @@
 def test_malformed_heartbeat_is_rejected_without_a_signal(section, key, value):
     doc = loads(dumps(HEARTBEAT))
     (doc if section is None else doc[section])[key] = value
-    app = HeartbeatApp(ADDRESS)
+    app = HeartbeatApp(ADDRESS, ManualClock())
     req = HttpRequest(
         "POST", "/monsoonmill/instances/i-1/heartbeat", (), dumps(doc).encode()
     )
@@ -131,9 +132,9 @@
 
 
 def test_deregistration_is_acknowledged():
-    app = HeartbeatApp(ADDRESS)
+    app = HeartbeatApp(ADDRESS, ManualClock(2.5))
     req = HttpRequest("POST", "/monsoonmill/instances/i-1/deregister")
-    assert list(app.request_signals(req, 0.0)) == [BackendDeregistered("i-1")]
+    assert list(app.request_signals(req, 0.0)) == [BackendDeregistered("i-1", 2500)]
     assert app.handle("1", req).status == 200
 
 
