Close connections that have carried a refusal without an id

What was seen: backend servers wrote some refusals a second time, late, on a kept connection.

Cause: a refusal without an id was taken as the answer to the pending request also on a connection that had carried another such refusal before.

Change: such a connection isn't used again, so that the first refusal without an id on a connection is the only one that is read there. On the product's own interface, whose responses name no request, a connection is closed after not-run too.

It costs a new connection for each refusal of a backend server.

--- a/src/monsoonmill/http1/client.py
+++ b/src/monsoonmill/http1/client.py
@@ -33,10 +33,15 @@
 
 @unique
 class ResponseKind(Enum):
-    """How a response relates to the pending request of its connection."""
+    """How a response relates to the pending request of its connection.
+
+    ``NOT_RUN_WITHOUT_ID`` is a refusal that names no request. A second copy of it could
+    not be told from a refusal of the next request, so its connection is closed.
+    """
 
     ANSWER = "answer"
     NOT_RUN = "not-run"
+    NOT_RUN_WITHOUT_ID = "not-run-without-id"
     UNMATCHED = "stray"
     INVALID = "invalid"
 
@@ -270,12 +275,13 @@
         if kind is ResponseKind.INVALID:
             self.chart.send("invalid_response")
             return
-        self._allows_reuse = self._allows_reuse and keeps_alive
+        has_id = kind is not ResponseKind.NOT_RUN_WITHOUT_ID
+        self._allows_reuse = self._allows_reuse and keeps_alive and has_id
         limits = self._pool.limits
         idle_s = protocol.keep_alive_s(resp)
         idle_s = limits.idle_s if idle_s is None else min(idle_s, limits.idle_s)
         self.expires_at = now + idle_s - KEEP_ALIVE_MARGIN_S
-        is_not_run = kind is ResponseKind.NOT_RUN
+        is_not_run = kind is ResponseKind.NOT_RUN or not has_id
         finished = RunFinished(self.call.attempt, resp, None, is_not_run)
         self.chart.send("response_received", finished)
 
--- a/src/monsoonmill/node/egress.py
+++ b/src/monsoonmill/node/egress.py
@@ -93,9 +93,12 @@
         """Send a request and report its result."""
         try:
             response = self._run(message)
-            finished = RunFinished(
-                message.attempt, response, None, states_not_run(response)
-            )
+            not_run = states_not_run(response)
+            if not_run:
+                # Responses name no request: a second copy of this one could not be
+                # told from the response to the next request.
+                self._disconnect()
+            finished = RunFinished(message.attempt, response, None, not_run)
         except RunError as exc:
             self._disconnect()
             finished = RunFinished(message.attempt, None, exc.failure)
--- a/src/monsoonmill/platform/backend.py
+++ b/src/monsoonmill/platform/backend.py
@@ -48,7 +48,9 @@
             if response_id or not is_refusal:
                 return ResponseKind.UNMATCHED
         if is_refusal:
-            return ResponseKind.NOT_RUN
+            return (
+                ResponseKind.NOT_RUN if response_id else ResponseKind.NOT_RUN_WITHOUT_ID
+            )
         is_success = 200 <= resp.status < 300
         is_signed = bool(headers.get(LOWER_SIGNATURE))
         has_content_encoding = "content-encoding" in headers
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -66,6 +66,13 @@
     assert names.count("monsoon-outcome") == 1
 
 
+# A second copy of a refusal was taken as the answer to the next request.
+def test_connection_is_not_reused_after_outcome_not_run():
+    with running_server([NOT_RUN, NOT_RUN + COMPLETE], [COMPLETE]) as address:
+        results = list(run_requests(address, 2))
+    assert [result.not_run for result in results] == [True, False]
+
+
 def test_truncated_response_is_a_broken_answer():
     with running_server([TRUNCATED]) as address:
         (result,) = run_requests(address, 1)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -318,6 +318,39 @@
     loop.run_until(lambda: not loop.component._idle)
 
 
+# A second copy of a refusal that names no request was taken as the answer to the next
+# request on its connection, which ran.
+@pytest.mark.parametrize("has_id", [False, True])
+def test_late_copy_of_a_refusal_is_not_taken_as_the_next_answer(has_id):
+    refusal_id = b"X-Monsoonmill-Attempt-Id: 1\r\n" if has_id else b""
+    refusal = (
+        b"HTTP/1.1 503 Unavailable\r\nX-Monsoonmill-Not-Executed: 1\r\n"
+        + refusal_id
+        + b"Content-Length: 0\r\n\r\n"
+    )
+
+    def serve(sock):
+        while request := sock.recv(65536):
+            if b"Attempt-Id: 1" in request:
+                sock.sendall(refusal)
+                if sock.recv(65536):
+                    sock.sendall(refusal)
+                    sock.sendall(ANSWER % b"2")
+            else:
+                sock.sendall(ANSWER % b"2")
+
+    server = ServerThread(serve)
+    loop = make_loop()
+    loop.dispatch(loop.component.on_run, make_call(server.address, "1"))
+    loop.run_until(lambda: loop.signals)
+    assert loop.signals[0].not_run
+    loop.dispatch(loop.component.on_run, make_call(server.address, "2"))
+    loop.run_until(lambda: len(loop.signals) == 2)
+    assert not loop.signals[1].not_run
+    assert loop.signals[1].response.body == b"ok"
+    assert server.connections == (1 if has_id else 2)
+
+
 def test_odd_keep_alive_header_is_ignored():
     answer = SIGNED + b"Keep-Alive: timeout=\xb2\r\nContent-Length: 2\r\n\r\nok"
 
