Wait for answers that are not written out at the end of a drain

Cause: an answer in the send buffer of a caller's connection didn't count as in progress.

Change: the HTTP servers count connections with unsent bytes, so that the drain waits for them up to its limit. A drain closes none of them as idle, and a caller that reads nothing for the idle time is disconnected.

--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -159,9 +159,19 @@
 
     @property
     def is_idle(self) -> bool:
+        """Whether no request is pending or being received, and all is written out."""
+        return self.awaits_request and not self._send_buffer
+
+    @property
+    def awaits_request(self) -> bool:
         """Whether no request is pending or being received."""
         return self.chart.state == "reading" and self.reader.is_idle
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of an answer is not written out yet."""
+        return bool(self._send_buffer)
+
     def _take_signals(self):
         signals, self.signals = self.signals, []
         return signals
@@ -231,6 +241,7 @@
                 self.chart.send("disconnected")
                 return
             del self._send_buffer[:sent]
+            self.last_used_at = self._now
         else:
             self.chart.send("flushed")
         self._update_events()
@@ -356,8 +367,8 @@
 
     @property
     def in_progress(self) -> int:
-        """Number of pending requests."""
-        return len(self._pending)
+        """Number of requests whose answer is pending or not written out yet."""
+        return len(self._pending) + sum(conn.has_unsent for conn in self._conns)
 
     def drain(self) -> None:
         """Close idle connections now, and the others after their pending responses."""
@@ -371,12 +382,13 @@
         return self._next_sweep_at
 
     def tick(self, now):
-        """Close idle connections and reject requests with overdue headers."""
+        """Close idle and stalled connections; reject requests with overdue headers."""
         if now < self._next_sweep_at:
             return ()
         self._next_sweep_at = now + SWEEP_INTERVAL_S
         for conn in list(self._conns):
-            if conn.is_idle and now - conn.last_used_at > self.limits.idle_s:
+            is_unused = now - conn.last_used_at > self.limits.idle_s
+            if conn.awaits_request and is_unused:
                 conn.abort()
             elif self._are_headers_overdue(conn, now):
                 conn.reject(408, "the headers came too slowly")
--- a/src/monsoonmill/standin/platform_backend.py
+++ b/src/monsoonmill/standin/platform_backend.py
@@ -44,6 +44,8 @@
         not implemented.
     signed : bool
         Whether answers have a signature.
+    body_bytes : int
+        Size of the answers' bodies; 0 for a short JSON document.
     most_held : int
         Number of requests that can be executed or queued; further ones, and later
         ones on the same connection, are never answered. 0 for no limit.
@@ -54,6 +56,7 @@
     status: int = 200
     stray_answers: int = 0
     signed: bool = True
+    body_bytes: int = 0
     most_held: int = 0
 
 
@@ -107,6 +110,8 @@
 
     def _response(self, request_id, req):
         body = dumps({"path": req.path, "by": self.instance}).encode()
+        if self.behaviour.body_bytes:
+            body = bytes(self.behaviour.body_bytes)
         headers = [(HEADER_PREFIX + "Attempt-Id", request_id)]
         if self.behaviour.signed:
             signature = f"{next(self._signature_numbers):x}"
--- a/tests/integration/test_platform_drain.py
+++ b/tests/integration/test_platform_drain.py
@@ -1,7 +1,9 @@
 """A planned stop of a node under load, with the stand-ins of the users' platform."""
 
 from concurrent.futures import ThreadPoolExecutor
+from socket import SO_RCVBUF, SOL_SOCKET, socket
 from threading import Event
+from time import monotonic
 
 import pytest
 from urllib3.exceptions import HTTPError
@@ -56,3 +58,45 @@
             503,
             None,
         }
+
+
+BODY_BYTES = 32 << 20
+"""More than the buffers of the sockets hold when the node could end."""
+READING_S = 3.5
+RECEIVE_BUFFER_BYTES = 1 << 16
+
+
+def read_evenly(sock, size, duration_s):
+    """Read until the end of the stream, evenly; return the number of bytes."""
+    started_at = monotonic()
+    pace = Event()
+    received = 0
+    while data := sock.recv(RECEIVE_BUFFER_BYTES):
+        received += len(data)
+        pace.wait(max(started_at + duration_s * received / size - monotonic(), 0.0))
+    return received
+
+
+# A stopping node dropped the part of an answer that its client had not read yet.
+def test_stopping_node_writes_out_an_answer_that_its_client_reads_slowly(tmp_path):
+    with PlatformFleet(tmp_path, ("profiles", "carepacks")) as fleet:
+        rules = (rule("/packs/", "carepacks", kind="download", timeout="5000ms"),)
+        fleet.put_config(configuration(3, rules, ("profiles", "carepacks"), [tenant()]))
+        fleet.start()
+        host, server = fleet.hosts
+        wait_until(lambda: host.call("/packs/1").status == 200)
+        server.backend_app.behaviour.body_bytes = BODY_BYTES
+        with socket() as sock:
+            sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            sock.settimeout(5.0)
+            sock.connect((host.ip, host.ports["callers"]))
+            sock.sendall(
+                b"GET /packs/2 HTTP/1.1\r\nHost: shop.example\r\n"
+                b"Authorization: Bearer secret\r\nX-Monsoonmill-Attempt-Id: slow\r\n"
+                b"X-Monsoonmill-Request-Deadline: 5000\r\n\r\n"
+            )
+            wait_until(lambda: len(server.backend_app.runs) == 2)
+            fleet.stop(host)
+            received = read_evenly(sock, BODY_BYTES, READING_S)
+        assert received > BODY_BYTES
+        wait_until(lambda: host.process.poll() == 0)
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -174,6 +174,49 @@
     server.close()
 
 
+def test_answer_that_is_not_written_out_is_in_progress(callers):
+    server = callers.component
+    sock = connect(callers)
+    sock.sendall(b"GET /later HTTP/1.1\r\nHost: a\r\n\r\n")
+    callers.run_until(lambda: callers.signals)
+    size = 16 << 20
+    answer = Answer(
+        callers.signals[0].call, Outcome.DONE, HttpResponse(200, (), bytes(size))
+    )
+    callers.dispatch(callers.component.on_answer, answer)
+    assert server.in_progress == 1
+    # A drain closes idle connections, but not one with an answer that is still sent.
+    server.drain()
+    received = 0
+
+    def is_received():
+        nonlocal received
+        sock.setblocking(False)
+        try:
+            received += len(sock.recv(1 << 20))
+        except BlockingIOError:
+            pass
+        return received > size
+
+    callers.run_until(is_received, limit_s=10.0)
+    callers.run_until(lambda: server.in_progress == 0)
+
+
+def test_caller_that_stops_reading_is_disconnected_after_the_idle_time(callers):
+    server = callers.component
+    sock = connect(callers)
+    sock.sendall(b"GET /later HTTP/1.1\r\nHost: a\r\n\r\n")
+    callers.run_until(lambda: callers.signals)
+    response = HttpResponse(200, (), bytes(16 << 20))
+    answer = Answer(callers.signals[0].call, Outcome.DONE, response)
+    callers.dispatch(server.on_answer, answer)
+    server.tick(monotonic() + LIMITS.idle_s - 5.0)
+    assert server.in_progress == 1
+    server.tick(monotonic() + LIMITS.idle_s + 5.0)
+    assert server.in_progress == 0
+    sock.close()
+
+
 def test_disconnected_caller_is_reported(callers):
     sock = connect(callers)
     sock.sendall(b"GET /later HTTP/1.1\r\nHost: a\r\n\r\n")
