Log how a node closes its sockets at the end of a stop

The node's task logs what is open when it begins to close and when it is done, and the program whether the drain ended in time and whether the task had closed its sockets when the process ended.

--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -370,6 +370,11 @@
         """Number of requests whose answer is pending or not written out yet."""
         return len(self._pending) + sum(conn.has_unsent for conn in self._conns)
 
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections from callers."""
+        return len(self._conns)
+
     def drain(self) -> None:
         """Close idle connections now, and the others after their pending responses."""
         self.is_draining = True
--- a/src/monsoonmill/node/network.py
+++ b/src/monsoonmill/node/network.py
@@ -51,3 +51,8 @@
     def in_progress(self) -> int:
         """Number of pending exchanges, for which a drain of the node waits."""
         return 0
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return 0
--- a/src/monsoonmill/node/peer_transport.py
+++ b/src/monsoonmill/node/peer_transport.py
@@ -279,6 +279,11 @@
         """Whether any stream is open."""
         return bool(self._streams)
 
+    @property
+    def stream_count(self) -> int:
+        """Number of open streams."""
+        return len(self._streams)
+
     @property
     def has_unsent(self) -> bool:
         """Whether any stream has data to write."""
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -164,12 +164,28 @@
         self._execute(self._core.start(now), now)
         while self._step():
             pass
+        started_at = self._clock.now()
+        log.info("closing", **self._open_sockets())
         self._close_streams()
+        log.info(
+            "closed",
+            after_s=round(self._clock.now() - started_at, 3),
+            **self._open_sockets(),
+        )
         for component in self._components:
             component.close()
         self._transport.close()
         self._waker.close()
 
+    def _open_sockets(self):
+        """Return what is open or in progress, for the log."""
+        return {
+            "streams": self._transport.stream_count,
+            "unsent": self._transport.has_unsent,
+            "connections": sum(part.connection_count for part in self._components),
+            "in_progress": sum(part.in_progress for part in self._components),
+        }
+
     def _close_streams(self):
         """Close the streams to other nodes without losing messages to them."""
         deadline = self._clock.now() + CLOSE_TIMEOUT_S
--- a/src/monsoonmill/platform/program.py
+++ b/src/monsoonmill/platform/program.py
@@ -115,10 +115,12 @@
         log.info("stopping", node=self.core.node)
         self.task.post(DrainRequested())
         drain = self.node_file.settings.drain
-        self.task.drained.wait(drain.settle_ms / 1000 + drain.limit_s)
+        is_drained = self.task.drained.wait(drain.settle_ms / 1000 + drain.limit_s)
         self.task.stop()
-        self.task.join(GOODBYE_TIMEOUT_S)
-        log.info("ended", node=self.core.node)
+        has_closed = self.task.join(GOODBYE_TIMEOUT_S)
+        log.info(
+            "ended", node=self.core.node, drained=is_drained, sockets_closed=has_closed
+        )
 
     def _reload(self):
         """Read the node file again and log whether a restart would apply changes."""
