--- /dev/null
+++ b/tests/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""Whole deployments of real node processes, with disruptions from outside."""
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -26,6 +26,8 @@
 from monsoonmill.standin.platform_backend import HeartbeatSource, PlatformBackendApp
 
 HOST = "127.0.0.1"
+SUBNET = environ.get("MONSOON_TEST_SUBNET", "127.0.1")
+"""Start of the hosts' addresses; test runs side by side need their own."""
 LIMITS = ConnectionLimits(65536, 1 << 24, 60.0, 10.0)
 HEARTBEAT_INTERVAL_S = 0.3
 MEMORY_MB = 300
@@ -194,7 +196,7 @@
         ports["metrics"] = ports["peer"] + 1
         name = f"host-{number}"
         # The administration port is the same on all hosts, so each has its own address.
-        ip = f"127.0.1.{number + 1}"
+        ip = f"{SUBNET}.{number + 1}"
         backend_app = PlatformBackendApp(f"i-{number}", service, self.clock)
         self._listen(ip, ports["target"], backend_app)
         node_file = self.directory / f"{name}.toml"
