Serve a node's sockets until its own task has closed them

Callers saw requests on kept connections reset without an answer at the end of a planned stop, some after 0.2 to 0.4 s of silence (LOST), and found their idle connections closed without notice.

Cause: nobody owned the end of a node's sockets. The task gave itself 1 s to close its streams, the program waited 0.5 s for it and left; from then on the interpreter's end, 0.15 to 0.3 s, froze the task with all ports open. The streams were often not closed by then, since a closing node went on opening new ones (gossip, reports) and had no way to close one that was being opened. Where the task was in time, it closed callers' sockets with unread requests, which resets them. No answer had told callers that the connection ends.

Now one setting, drain.close_ms, bounds the closing; the task serves its sockets until they are closed, and the program waits for it. Answers end their connections from the start of a drain. At the end the node accepts and answers what has arrived, ends its output and reads on until the caller closes, so that nothing is reset; so it does after a rejection whose request it has not read. A closing transport opens streams for replies only. The process then exits without finalizing the interpreter, which also could abort it.

--- a/src/monsoonmill/decisions/lifecycle/draining.py
+++ b/src/monsoonmill/decisions/lifecycle/draining.py
@@ -5,7 +5,11 @@
 from monsoonmill.decisions.calls.call_flow import CallFlow
 from monsoonmill.decisions.calls.executions import Executions
 from monsoonmill.decisions.decision import Decision
-from monsoonmill.decisions.lifecycle.signals import Drained, DrainRequested
+from monsoonmill.decisions.lifecycle.signals import (
+    Drained,
+    DrainRequested,
+    DrainStarted,
+)
 from monsoonmill.decisions.members.signals import SelfLeaving
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.settings import DrainSettings
@@ -70,8 +74,9 @@
         yield from out
 
     def announce_leaving(self, now):
-        """Tell the other decisions, and through the membership the fleet."""
+        """Tell the other decisions, through the membership the fleet, and callers."""
         self._outgoing.append(SelfLeaving())
+        self._outgoing.append(DrainStarted())
 
     def start_settle_timer(self, now):
         """Give the announcement time to spread; a late timer doesn't delay the end."""
--- a/src/monsoonmill/decisions/lifecycle/signals.py
+++ b/src/monsoonmill/decisions/lifecycle/signals.py
@@ -35,6 +35,11 @@
     """The node may accept calls."""
 
 
+@frozen
+class DrainStarted:
+    """The node has begun to drain, so that its callers should go elsewhere."""
+
+
 @frozen
 class DrainRequested:
     """Requests that the node leave the fleet and shut down gracefully."""
--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -4,10 +4,11 @@
 from collections.abc import Iterable
 from itertools import count
 from selectors import EVENT_READ, EVENT_WRITE, BaseSelector
-from socket import IPPROTO_TCP, TCP_NODELAY, create_server, socket
+from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY, create_server, socket
 
 from monsoonmill.chart import bind_methods
 from monsoonmill.decisions.calls.signals import Answer, CallerDisconnected
+from monsoonmill.decisions.lifecycle.signals import DrainStarted
 from monsoonmill.errors import (
     HttpMessageTooLargeError,
     InvalidHttpMessageError,
@@ -26,6 +27,8 @@
 """Maximum number of connections accepted before open ones are served again."""
 SWEEP_INTERVAL_S = 1.0
 """Interval at which idle and slow connections are checked."""
+LINGER_S = 1.0
+"""Time for which a caller may go on sending after its connection's last response."""
 BODY_BUDGET_STATUS = 503
 BODY_BUDGET_RETRY_S = "1"
 """Value of Retry-After for a request whose body there is no memory for."""
@@ -68,6 +71,7 @@
         self.sock = sock
         self.last_used_at = now
         self.request_started_at: float | None = None
+        self.lingers_until = float("inf")
         self.call = ""
         self.signals: list[object] = []
         self._server = server
@@ -94,6 +98,27 @@
         self._req, self._allows_keep_alive = self.reader.requests.popleft()
         self.call = self._server.next_call_name()
 
+    def may_have_unread_input(self, arg):
+        """Return whether the caller may have sent more than the last request.
+
+        Closing a socket with unread input resets the connection, and the caller may
+        lose the response.
+        """
+        return self._server.is_draining or not self.reader.is_idle
+
+    def has_read_all_input(self, arg):
+        """Return whether the caller sends nothing after the last request."""
+        return not self.may_have_unread_input(arg)
+
+    def end_output(self, arg):
+        """Send the end of the stream; discard input until the caller sends its end."""
+        self.lingers_until = self._now + LINGER_S
+        self._release_buffers()
+        try:
+            self.sock.shutdown(SHUT_WR)
+        except OSError:
+            self.lingers_until = self._now
+
     def write_response(self, resp: HttpResponse):
         """Append the encoded response to the send buffer."""
         keeps_alive = self.keeps_alive(resp)
@@ -110,6 +135,10 @@
     def close_socket(self, arg):
         """Close the socket, leave the server and drop what is buffered."""
         self._server.close_connection(self)
+        self._release_buffers()
+
+    def _release_buffers(self):
+        self._server.budget.forget(self)
         self.reader.release()
         self._send_buffer.clear()
         self._req = None
@@ -125,6 +154,12 @@
             yield from self._serve(now)
         yield from self._take_signals()
 
+    def begin_close(self, now: float):
+        """Serve what has arrived, and close the connection if nothing is pending."""
+        yield from self.on_ready(EVENT_READ, now)
+        if self.is_idle:
+            self.chart.send("close_requested")
+
     def on_error(self, now: float):
         """Close the connection without a response."""
         self.abort()
@@ -187,6 +222,8 @@
         if not data:
             self.chart.send("disconnected")
             return
+        if self.chart.state in ("flushing", "lingering"):
+            return
         if self.request_started_at is None:
             self.request_started_at = now
         self._feed(data)
@@ -288,7 +325,7 @@
     Attributes
     ----------
     is_draining : bool
-        Whether connections are closed after their pending responses.
+        Whether each connection ends with its next response.
     """
 
     def __init__(self, address: Address, app: WebApp, limits: ConnectionLimits):
@@ -306,7 +343,7 @@
 
     def signal_handlers(self):
         """Return the handlers of the signals that concern callers."""
-        return {Answer: self.on_answer}
+        return {Answer: self.on_answer, DrainStarted: self.on_drain_started}
 
     def open(self, selector: BaseSelector, now: float) -> None:
         """Listen on the port.
@@ -360,7 +397,6 @@
     def close_connection(self, conn: CallerConnection) -> None:
         """Close a connection's socket and drop its pending request."""
         self._conns.discard(conn)
-        self.budget.forget(conn)
         self._pending.pop(conn.call, None)
         self.selector.unregister(conn.sock)
         conn.sock.close()
@@ -375,12 +411,22 @@
         """Number of open connections from callers."""
         return len(self._conns)
 
-    def drain(self) -> None:
-        """Close idle connections now, and the others after their pending responses."""
+    def on_drain_started(self, signal: DrainStarted, now: float):
+        """End each connection with its next response.
+
+        Idle connections stay open, since a request may be on its way.
+        """
+        self.is_draining = True
+        return ()
+
+    def begin_close(self, now: float):
+        """Accept and serve what has arrived; close the port and idle connections."""
         self.is_draining = True
+        if self._listener is not None:
+            yield from self._listener.on_ready(EVENT_READ, now)
+            self._close_listener()
         for conn in list(self._conns):
-            if conn.is_idle:
-                conn.abort()
+            yield from conn.begin_close(now)
 
     def next_due(self):
         """Return the time of the next sweep."""
@@ -392,6 +438,9 @@
             return ()
         self._next_sweep_at = now + SWEEP_INTERVAL_S
         for conn in list(self._conns):
+            if now >= conn.lingers_until:
+                conn.chart.send("linger_timeout")
+                continue
             is_unused = now - conn.last_used_at > self.limits.idle_s
             if conn.awaits_request and is_unused:
                 conn.abort()
@@ -412,9 +461,12 @@
 
     def close(self) -> None:
         """Close the listening socket and all connections."""
+        self._close_listener()
+        for conn in list(self._conns):
+            conn.abort()
+
+    def _close_listener(self):
         if self._listener is not None:
             self.selector.unregister(self._listener.sock)
             self._listener.sock.close()
             self._listener = None
-        for conn in list(self._conns):
-            conn.abort()
--- a/src/monsoonmill/node/network.py
+++ b/src/monsoonmill/node/network.py
@@ -43,9 +43,17 @@
     def tick(self, now: float) -> Iterable[object]:
         """Run the timers that are due; yield signals for the core."""
 
+    def begin_close(self, now: float) -> Iterable[object]:
+        """Start to close the sockets without losing answers; yield signals.
+
+        The task goes on serving them until ``connection_count`` is 0, or for the time
+        that the settings allow.
+        """
+        return ()
+
     @abstractmethod
     def close(self) -> None:
-        """Close all sockets."""
+        """Close all sockets immediately."""
 
     @property
     def in_progress(self) -> int:
@@ -54,5 +62,5 @@
 
     @property
     def connection_count(self) -> int:
-        """Number of open connections."""
+        """Number of open connections for which the task waits before it ends."""
         return 0
--- a/src/monsoonmill/node/peer_stream.py
+++ b/src/monsoonmill/node/peer_stream.py
@@ -111,6 +111,7 @@
         self.last_received = now
         self.is_initiator = False
         self.has_carried_messages = False
+        self._is_leaving = False
         self.mask = 0
         self.ledger: TrafficLedger | None = None
         self._hello = hello
@@ -156,6 +157,23 @@
         self.peer_hello = hello
         self.events.append(StreamUp(self))
 
+    def is_leaving(self, arg):
+        """Return whether the stream is to be closed."""
+        return self._is_leaving
+
+    def is_staying(self, arg):
+        """Return whether the stream is not to be closed."""
+        return not self._is_leaving
+
+    def is_unused(self, arg):
+        """Return whether no message waits for the connection."""
+        return not self._send_queue
+
+    def begin_leaving(self, hello: Hello):
+        """Report that the peer has identified itself, and close the stream."""
+        self.report_up(hello)
+        self.send_goodbye(None)
+
     def send_goodbye(self, arg):
         """Enqueue the goodbye; no messages are sent after it."""
         self._enqueue(Goodbye())
@@ -232,7 +250,11 @@
         )
 
     def begin_close(self) -> None:
-        """Start to close the stream; it closes when the peer confirms."""
+        """Start to close the stream; it closes when the peer confirms.
+
+        A stream that is still being opened sends its messages first.
+        """
+        self._is_leaving = True
         self.chart.send("close_requested")
 
     def on_connected(self, error: int) -> None:
--- a/src/monsoonmill/node/peer_transport.py
+++ b/src/monsoonmill/node/peer_transport.py
@@ -12,7 +12,7 @@
 from monsoonmill.decisions.signals import PeerDown, PeerUnreachable, PeerUp, Received
 from monsoonmill.errors import ProtocolError, TruncatedFrameError
 from monsoonmill.eventlog import get_logger
-from monsoonmill.messages import Hello
+from monsoonmill.messages import Hello, Reply
 from monsoonmill.model import Address
 from monsoonmill.node.peer_stream import PeerStream, StreamDown, StreamMessage, StreamUp
 from monsoonmill.node.traffic_ledger import TrafficLedger
@@ -82,6 +82,7 @@
         self._next_tick = now + TICK_INTERVAL_S
         self._flush_pending: set[PeerStream] = set()
         self.bytes_by_region: dict[str, int] = defaultdict(int)
+        self._is_closing = False
         self._listener = create_server((cfg.node.host, cfg.node.peer_port), backlog=512)
         self._listener.setblocking(False)
         selector.register(self._listener, EVENT_READ, self)
@@ -101,7 +102,7 @@
 
     def connect(self, address: Address, now: float) -> None:
         """Open a stream to a node whose name is not known yet."""
-        if address != self._hello.address:
+        if address != self._hello.address and not self._is_closing:
             self._open(address, now)
 
     def send(self, node: str, message: object, now: float) -> Iterator[object]:
@@ -109,15 +110,25 @@
         stream = self._stream_by_node.get(node)
         if stream is None or not self._is_usable(stream, now):
             address = self._address_by_node.get(node)
-            if address is None:
+            if address is None or not self._may_open_stream_for(message):
                 yield PeerUnreachable(node, message)
                 return
             stream = self._open(address, now)
             stream.node = node
             self._stream_by_node[node] = stream
         stream.put(message, now)
+        if self._is_closing:
+            stream.begin_close()
         self._flush_pending.add(stream)
 
+    def _may_open_stream_for(self, message):
+        """Return whether a message is worth a new stream.
+
+        While the streams are being closed, nodes still await the replies to what they
+        sent before they received the goodbye; nothing else may delay the end.
+        """
+        return not self._is_closing or isinstance(message, Reply)
+
     def _is_usable(self, stream, now):
         if not stream.accepts_messages:
             return False
@@ -291,6 +302,7 @@
 
     def begin_close(self) -> None:
         """Stop accepting connections and start to close all streams."""
+        self._is_closing = True
         self._selector.unregister(self._listener)
         self._listener.close()
         for stream in self._streams:
--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -17,7 +17,7 @@
 from monsoonmill.node.incarnation import new_incarnation
 from monsoonmill.node.ingress import BackendApp, CallApp
 from monsoonmill.node.shared_counters import SharedCounters
-from monsoonmill.node.task import NodeTask
+from monsoonmill.node.task import JOIN_MARGIN_S, NodeTask
 from monsoonmill.node.task_client import NodeTaskClient
 from monsoonmill.node.web import AppServer
 from monsoonmill.program import create_stop_event, print_ready_line, run_service
@@ -114,7 +114,7 @@
         for server in self.servers:
             server.stop()
         self.task.stop()
-        self.task.join(1.0)
+        self.task.join(self.cfg.drain.close_ms / 1000 + JOIN_MARGIN_S)
 
 
 def monsoon_node(config: str | None = None) -> Settings:
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -42,8 +42,8 @@
 
 log = get_logger("node")
 
-CLOSE_TIMEOUT_S = 1.0
-"""Maximum time for the streams to other nodes to close."""
+JOIN_MARGIN_S = 0.1
+"""Time that the task may take beyond ``drain.close_ms`` to end."""
 
 
 @frozen
@@ -118,6 +118,7 @@
         self._sockets_due = float("-inf")
         self._decision_log = DecisionLog(cfg.node, clock)
         self._is_drained = False
+        self._closes_at = float("inf")
         self._local_handlers = {
             Answer: self._answer_call,
             NoteAccepted: self._answer_request,
@@ -164,14 +165,7 @@
         self._execute(self._core.start(now), now)
         while self._step():
             pass
-        started_at = self._clock.now()
-        log.info("closing", **self._open_sockets())
-        self._close_streams()
-        log.info(
-            "closed",
-            after_s=round(self._clock.now() - started_at, 3),
-            **self._open_sockets(),
-        )
+        self._close_sockets()
         for component in self._components:
             component.close()
         self._transport.close()
@@ -186,12 +180,26 @@
             "in_progress": sum(part.in_progress for part in self._components),
         }
 
-    def _close_streams(self):
-        """Close the streams to other nodes without losing messages to them."""
-        deadline = self._clock.now() + CLOSE_TIMEOUT_S
+    def _close_sockets(self):
+        """Close all sockets without losing messages, and serve them until then."""
+        started_at = self._clock.now()
+        self._closes_at = started_at + self._cfg.drain.close_ms / 1000
+        log.info("closing", **self._open_sockets())
         self._transport.begin_close()
-        while self._transport.has_streams and self._clock.now() < deadline:
+        for component in self._components:
+            self._handle_signals(component.begin_close(started_at), started_at)
+        while self._has_open_sockets() and self._clock.now() < self._closes_at:
             self._step()
+        log.info(
+            "closed",
+            after_s=round(self._clock.now() - started_at, 3),
+            **self._open_sockets(),
+        )
+
+    def _has_open_sockets(self):
+        return self._transport.has_streams or any(
+            component.connection_count for component in self._components
+        )
 
     def _step(self):
         ready, now = self._await_events()
@@ -240,7 +248,7 @@
         if core_due is not None and core_due < due:
             due = core_due
         self._next_due = due
-        return max(due - now, 0.0)
+        return max(min(due, self._closes_at) - now, 0.0)
 
     def _find_sockets_due(self):
         """Return the earliest due time of the owners of sockets.
--- a/src/monsoonmill/platform/program.py
+++ b/src/monsoonmill/platform/program.py
@@ -21,14 +21,15 @@
 from monsoonmill.messages import PEER_MESSAGES
 from monsoonmill.node.incarnation import new_incarnation
 from monsoonmill.node.operators import OperatorApp
-from monsoonmill.node.task import NodeTask
+from monsoonmill.node.task import JOIN_MARGIN_S, NodeTask
 from monsoonmill.platform.backend import PlatformBackendProtocol
 from monsoonmill.platform.callers import CallerApp
 from monsoonmill.platform.config_codec import StoredConfigCodec
 from monsoonmill.platform.heartbeats import HeartbeatApp
 from monsoonmill.platform.readiness import ReadinessApp
-from monsoonmill.platform.settings import GOODBYE_TIMEOUT_S, NodeFile
+from monsoonmill.platform.settings import NodeFile
 from monsoonmill.platform.store_client import KvClient
+from monsoonmill.process import exit_process
 
 NODE_FILE_VARIABLE = "MONSOONMILL_NODE_FILE"
 TOKEN_BYTES = 16
@@ -117,7 +118,7 @@
         drain = self.node_file.settings.drain
         is_drained = self.task.drained.wait(drain.settle_ms / 1000 + drain.limit_s)
         self.task.stop()
-        has_closed = self.task.join(GOODBYE_TIMEOUT_S)
+        has_closed = self.task.join(drain.close_ms / 1000 + JOIN_MARGIN_S)
         log.info(
             "ended", node=self.core.node, drained=is_drained, sockets_closed=has_closed
         )
@@ -143,7 +144,7 @@
         sys.stderr.write(f"{exc}\n")
         return USER_ERROR_STATUS
     program.run()
-    return 0
+    exit_process(0)
 
 
 if __name__ == "__main__":
--- a/src/monsoonmill/platform/settings.py
+++ b/src/monsoonmill/platform/settings.py
@@ -17,9 +17,7 @@
 """Fraction of a process's memory for the bodies of requests that are received or
 pending, and as much for responses; copies of a body take about as much again."""
 EXIT_RESERVE_S = 0.7
-"""Part of the grace period after the drain, for Goodbye messages and process exit."""
-GOODBYE_TIMEOUT_S = 0.5
-"""Part of it for Goodbye messages; other hosts respond within 0.1 s."""
+"""Part of the grace period after the drain, for closing connections and the exit."""
 SETTLE_FRACTION = 0.4
 """Maximum fraction of the grace period in which calls are still accepted while the
 other nodes learn of the shutdown."""
@@ -148,7 +146,7 @@
         limit_s = max(
             int(round(grace_period_s - settle_ms / 1000 - EXIT_RESERVE_S, 3)), 1
         )
-        overlay["drain"] = {"settle_ms": settle_ms, "limit_s": limit_s}
+        overlay["drain"] = {**drain, "settle_ms": settle_ms, "limit_s": limit_s}
     # Repeated arrivals at a service, as a fraction of the requests for it.
     if "retry_budget_ratio" in params:
         ratio = float(params["retry_budget_ratio"])
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -211,6 +211,7 @@
 
     settle_ms: int = int_field(0)
     limit_s: int = int_field()
+    close_ms: int = int_field()
 
 
 @frozen
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -15,9 +15,10 @@
     RunCall,
     RunFailure,
 )
+from monsoonmill.decisions.lifecycle.signals import DrainStarted
 from monsoonmill.http1.client import BackendPool
 from monsoonmill.http1.messages import ConnectionLimits
-from monsoonmill.http1.server import WebApp, WebServer
+from monsoonmill.http1.server import LINGER_S, SWEEP_INTERVAL_S, WebApp, WebServer
 from monsoonmill.load.launcher import free_port
 from monsoonmill.model import Address, HttpRequest, HttpResponse
 from monsoonmill.platform.backend import PlatformBackendProtocol
@@ -165,8 +166,11 @@
         loop.run_until(lambda number=number: len(loop.signals) == number)
     assert server.budget.total_bytes == 6000
     socks[2].sendall(request + body[:2500])
-    loop.run_until(lambda: len(server._conns) == 2)
+    loop.run_until(lambda: "lingering" in {c.chart.state for c in server._conns})
     assert socks[2].recv(100).startswith(b"HTTP/1.1 503 ")
+    assert server.budget.total_bytes == 6000
+    socks[2].close()
+    loop.run_until(lambda: len(server._conns) == 2)
     for signal in list(loop.signals):
         answer = Answer(signal.call, Outcome.DONE, HttpResponse(200))
         loop.dispatch(server.on_answer, answer)
@@ -174,6 +178,77 @@
     server.close()
 
 
+def read_to_end(sock):
+    """Return all bytes up to the end of the stream; a reset raises an error."""
+    sock.setblocking(True)
+    sock.settimeout(3.0)
+    return b"".join(iter(lambda: sock.recv(65536), b""))
+
+
+def begin_close(loop):
+    loop.signals.extend(loop.component.begin_close(monotonic()))
+
+
+def test_request_that_arrives_before_the_port_closes_is_answered(callers):
+    """One request comes on a kept connection, one on a connection not accepted yet."""
+    kept = connect(callers)
+    kept.sendall(b"GET /now HTTP/1.1\r\nHost: a\r\n\r\n")
+    callers.run_until(lambda: callers.component._conns)
+    assert kept.recv(65536).endswith(b"now")
+    new = connect(callers)
+    for sock in (kept, new):
+        sock.sendall(b"GET /now HTTP/1.1\r\nHost: a\r\n\r\n")
+    begin_close(callers)
+    for sock in (kept, new):
+        resp = read_to_end(sock)
+        assert resp.endswith(b"now")
+        assert b"Connection: close" in resp
+        sock.close()
+    callers.run_until(lambda: callers.component.connection_count == 0)
+
+
+def test_request_that_crosses_the_end_of_an_idle_connection_resets_nothing(callers):
+    sock = connect(callers)
+    sock.sendall(b"GET /now HTTP/1.1\r\nHost: a\r\n\r\n")
+    callers.run_until(lambda: callers.component._conns)
+    begin_close(callers)
+    sock.sendall(b"GET /now HTTP/1.1\r\nHost: a\r\n\r\n")
+    callers.run_until(lambda: True)
+    assert read_to_end(sock).count(b"HTTP/1.1 200") == 1
+    sock.close()
+    callers.run_until(lambda: callers.component.connection_count == 0)
+
+
+def test_answers_end_their_connections_from_the_start_of_a_drain(callers):
+    sock = connect(callers)
+    callers.run_until(lambda: callers.component._conns)
+    callers.dispatch(callers.component.on_drain_started, DrainStarted())
+    sock.sendall(b"GET /now HTTP/1.1\r\nHost: a\r\n\r\n")
+    callers.run_until(lambda: not callers.component._conns or is_lingering(callers))
+    assert b"Connection: close" in read_to_end(sock)
+
+
+def is_lingering(loop):
+    return "lingering" in {conn.chart.state for conn in loop.component._conns}
+
+
+def test_caller_that_still_sends_its_body_receives_the_rejection(callers):
+    sock = connect(callers)
+    head = b"POST /now HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n"
+    sender = Thread(target=sock.sendall, args=(head + bytes(4_000_000),))
+    sender.start()
+    callers.run_until(lambda: not sender.is_alive(), limit_s=10.0)
+    assert read_to_end(sock).startswith(b"HTTP/1.1 413 ")
+
+
+def test_caller_that_goes_on_sending_is_closed_after_the_linger_time(callers):
+    sock = connect(callers)
+    sock.sendall(b"POST /now HTTP/1.1\r\nContent-Length: 9000\r\n\r\n" + bytes(5000))
+    callers.run_until(lambda: is_lingering(callers))
+    list(callers.component.tick(monotonic() + LINGER_S + SWEEP_INTERVAL_S))
+    assert callers.component.connection_count == 0
+
+
 def test_answer_that_is_not_written_out_is_in_progress(callers):
     server = callers.component
     sock = connect(callers)
@@ -185,8 +260,8 @@
     )
     callers.dispatch(callers.component.on_answer, answer)
     assert server.in_progress == 1
-    # A drain closes idle connections, but not one with an answer that is still sent.
-    server.drain()
+    # The end closes idle connections, but not one with an answer that is still sent.
+    assert not list(server.begin_close(monotonic()))
     received = 0
 
     def is_received():
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -7,7 +7,12 @@
 
 from monsoonmill.codec_msgpack import MsgpackCodec
 from monsoonmill.counters import Counters
-from monsoonmill.decisions.signals import PeerDown, PeerUp, Received
+from monsoonmill.decisions.signals import (
+    PeerDown,
+    PeerUnreachable,
+    PeerUp,
+    Received,
+)
 from monsoonmill.load.launcher import free_port
 from monsoonmill.messages import (
     PEER_MESSAGES,
@@ -199,3 +204,32 @@
         pair.settle()
         assert not node_a.transport.has_streams
     assert node_a.count_signals(Received) == 0
+
+
+def close_streams(node):
+    node.transport.begin_close()
+
+
+# A node that closed its streams went on opening new ones, and never had none.
+def test_closing_transport_opens_streams_for_replies_only(pair):
+    node_a, node_b = pair.nodes
+    connect_simultaneously(pair)
+    close_streams(node_a)
+    node_a.send(node_b, pair.now)
+    assert node_a.count_signals(PeerUnreachable) == 1
+    node_a.transport.connect(node_b.address, pair.now)
+    reply = Reply("attempt", Outcome.NOT_RUN, Reason.DRAINING, None, 0, 0, Load())
+    node_a.signals.extend(node_a.transport.send(node_b.name, reply, pair.now))
+    pair.advance(0.5)
+    assert not node_a.transport.has_streams
+    received = [s.message for s in node_b.signals if isinstance(s, Received)]
+    assert [message.attempt for message in received] == ["attempt"]
+
+
+def test_stream_that_is_being_opened_is_closed_with_the_transport(pair):
+    node_a, node_b = pair.nodes
+    node_a.transport.connect(node_b.address, pair.now)
+    node_b.transport.connect(node_a.address, pair.now)
+    close_streams(node_a)
+    pair.advance(0.5)
+    assert not node_a.transport.has_streams
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -11,12 +11,13 @@
 from monsoonmill.errors import MalformedMessageError, SettingsError
 from monsoonmill.http1.client import ResponseKind
 from monsoonmill.model import Address, HttpRequest, HttpResponse
+from monsoonmill.node.task import JOIN_MARGIN_S
 from monsoonmill.platform.backend import PlatformBackendProtocol
 from monsoonmill.platform.callers import CallerApp
 from monsoonmill.platform.config_codec import StoredConfigCodec
 from monsoonmill.platform.durations import parse_ms
 from monsoonmill.platform.heartbeats import HeartbeatApp, parse_heartbeat
-from monsoonmill.platform.settings import GOODBYE_TIMEOUT_S, NodeFile
+from monsoonmill.platform.settings import NodeFile
 from monsoonmill.reasons import Importance, Outcome, Reason
 from tests.platform_fleet import configuration, rule, tenant
 
@@ -256,7 +257,8 @@
     )
     drain = read_settings(tmp_path, contract_params).drain
     assert 1 <= drain.limit_s
-    assert drain.settle_ms / 1000 + drain.limit_s + GOODBYE_TIMEOUT_S < grace_period_s
+    close_s = drain.close_ms / 1000 + JOIN_MARGIN_S
+    assert drain.settle_ms / 1000 + drain.limit_s + close_s < grace_period_s
 
 
 def test_retry_ratio_follows_the_retry_budget(tmp_path):
