Answer the calls that outlast the drain of their node

A caller whose call was still running when its node's drain timed out got no answer: its connection was closed with the process (LOST). A node whose attempt ran at a node that ended waited for the attempt's deadline, since streams that end with a goodbye report no loss.

Cause: the end of a drain was a count of unfinished work, and nothing ended it. Now the drain's time-out ends each call with an answer (503 if it hasn't run, else unknown) and each attempt with a reply, so that its sender may place it elsewhere. An attempt that must not be repeated is not cancelled; it may still succeed.

--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -44,6 +44,8 @@
     )
 )
 """Reasons of refusals by a node, before its backend server received the call."""
+DRAINING_RETRY_S = 1.0
+"""Callers that retry after this time reach other nodes."""
 RESERVE_DIVISOR = 2
 """A call keeps one in this many retries for itself. An attempt without a reply does
 not return the retries that were delegated to it."""
@@ -280,6 +282,23 @@
         self._cancel_attempt(Reason.CANCELLED)
         self._answer(Answer(self.name, outcome, reason=Reason.CANCELLED))
 
+    def answer_draining(self, arg):
+        """Answer that the node exits before the call has ended.
+
+        An attempt that must not be repeated is not cancelled: it may still succeed.
+        """
+        outcome = self._outcome_so_far()
+        if self.route.idempotent:
+            self._cancel_attempt(Reason.DRAINING)
+        self._answer(
+            Answer(
+                self.name,
+                outcome,
+                reason=Reason.DRAINING,
+                retry_after_s=DRAINING_RETRY_S,
+            )
+        )
+
     def answer_over_rate(self, denied: TokenDenied):
         """Answer that the organisation has used up its rate limit."""
         self._refuse(Reason.OVER_RATE, denied.retry_after_s, denied.detail)
--- a/src/monsoonmill/decisions/calls/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -9,7 +9,11 @@
     Caller,
     fingerprint_request,
 )
-from monsoonmill.decisions.calls.call import Call, CallController
+from monsoonmill.decisions.calls.call import (
+    DRAINING_RETRY_S,
+    Call,
+    CallController,
+)
 from monsoonmill.decisions.calls.contexts import Contexts
 from monsoonmill.decisions.calls.running_requests import RunningRequests
 from monsoonmill.decisions.calls.signals import CallArrived
@@ -19,8 +23,6 @@
 from monsoonmill.reasons import Importance, Reason
 from monsoonmill.settings import Settings
 
-DRAINING_RETRY_S = 1.0
-"""Callers that retry after this time reach other nodes."""
 DRAIN_MARGIN_S = 0.2
 """Time before the end of a drain at which the last accepted call has its deadline, so
 that its answer is written before the process exits."""
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -116,6 +116,11 @@
         """Refuse all new calls, since the process is about to exit."""
         self._checks.drain_ends_at = float("-inf")
 
+    def end_unfinished(self, now: float):
+        """Answer all calls in progress, since the process is about to exit."""
+        for name in list(self._calls):
+            yield from self._dispatch(name, "drain_timed_out", now)
+
     @property
     def in_progress(self) -> int:
         """Number of calls without an answer."""
--- a/src/monsoonmill/decisions/calls/execution.py
+++ b/src/monsoonmill/decisions/calls/execution.py
@@ -168,6 +168,16 @@
         self.leave_queue(arg)
         self._reply(Outcome.NOT_RUN, Reason.KEY_WITHDRAWN)
 
+    def reply_draining_in_queue(self, arg):
+        """Reply that the node exits before the attempt ran."""
+        self.leave_queue(arg)
+        self._reply(Outcome.NOT_RUN, Reason.DRAINING)
+
+    def reply_draining(self, arg):
+        """Reply that the node exits while the attempt runs."""
+        self._close_context()
+        self._reply(Outcome.UNKNOWN, Reason.DRAINING)
+
     def leave_queue(self, arg):
         """Remove the attempt from the queue."""
         self.outbox.append(CancelAdmission(self.forward.attempt))
--- a/src/monsoonmill/decisions/calls/executions.py
+++ b/src/monsoonmill/decisions/calls/executions.py
@@ -251,6 +251,11 @@
         if len(self._finished) > MAX_ENDED_ATTEMPTS:
             self._finished.popitem(last=False)
 
+    def end_unfinished(self, now: float):
+        """Reply to all attempts in progress, since the process is about to exit."""
+        for attempt in list(self._executions):
+            yield from self._dispatch(attempt, "drain_timed_out", now)
+
     def status(self):
         """Return the number of attempts in progress."""
         return {"in_progress": self.in_progress, "service": self._service}
--- a/src/monsoonmill/decisions/lifecycle/draining.py
+++ b/src/monsoonmill/decisions/lifecycle/draining.py
@@ -91,10 +91,12 @@
         self._timers.set(DRAIN_TIMEOUT, self._ends_at)
         self._timers.set(IDLE_CHECK, now)
 
-    def count_unfinished(self, now):
-        """Count the work still in progress when the drain timed out."""
+    def end_unfinished(self, now):
+        """Answer the work still in progress when the drain timed out, and count it."""
         unfinished = sum(part.in_progress for part in self._drained_parts)
         self._counters.add("cut-off-by-drain", unfinished)
+        self._outgoing.extend(self._executions.end_unfinished(now))
+        self._outgoing.extend(self._calls.end_unfinished(now))
 
     def report_drained(self, now):
         """Refuse all new calls and signal that the process may exit."""
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -132,6 +132,43 @@
     assert len(done) == len(fleet.executed)
 
 
+# Calls that outlasted the drain of their node had no answer when its process ended.
+def test_call_that_outlasts_the_drain_of_its_node_is_answered():
+    def never_answer(node, call):
+        return None
+
+    fleet, nodes = make_fleet(run=never_answer, drain=SHORT_DRAIN)
+    leaving = nodes[0]
+    name = fleet.call(leaving, "donkeys", "/open/1", timeout_ms=60_000)
+    fleet.advance(0.1)
+    fleet.inject(leaving, DrainRequested())
+    assert fleet.advance_until(lambda: leaving.drained)
+    answer = leaving.answers[name]
+    assert (answer.outcome, answer.reason) == (Outcome.UNKNOWN, Reason.DRAINING)
+    assert leaving.core.calls.in_progress == 0
+
+
+# Attempts at a node that ended were waited for until the caller's deadline.
+def test_attempt_that_outlasts_the_drain_of_its_node_runs_elsewhere():
+    running = []
+
+    def hold_first(node, call):
+        running.append(node)
+        return None if len(running) == 1 else answer_ok(node, call)
+
+    fleet, nodes = make_fleet(run=hold_first, drain=SHORT_DRAIN)
+    caller = fleet.add()
+    assert fleet.advance_until(lambda: knows_all(caller, len(nodes)))
+    name = fleet.call(caller, "donkeys", "/lookup/1", bearer=SECRET, timeout_ms=60_000)
+    fleet.advance(0.1)
+    leaving = running[0]
+    fleet.inject(leaving, DrainRequested())
+    assert fleet.advance_until(lambda: leaving.drained)
+    fleet.advance(0.5)
+    assert caller.answers[name].outcome is Outcome.DONE
+    assert running[1] is not leaving
+
+
 def test_draining_node_accepts_a_nested_call_if_it_can_end():
     tokens = []
 
