Accept all waiting connections before the callers' port closes

Callers that had connected shortly before the end of a stop saw their requests reset without an answer, if more than 64 connections were waiting: begin_close accepted one batch, and the kernel resets what is left in the accept queue when the listening socket is closed.

The end now accepts as many connections as the queue can hold.

Evidence: the new test fails before (5 of 69 connections are reset) and passes after.

--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -308,7 +308,11 @@
 
     def on_ready(self, mask: int, now: float):
         """Accept a batch of connections; the selector reports any that remain."""
-        for _ in range(ACCEPT_BATCH):
+        yield from self.accept(ACCEPT_BATCH, now)
+
+    def accept(self, limit: int, now: float):
+        """Accept up to ``limit`` connections and read what they have received."""
+        for _ in range(limit):
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
@@ -423,7 +427,9 @@
         """Accept and serve what has arrived; close the port and idle connections."""
         self.is_draining = True
         if self._listener is not None:
-            yield from self._listener.on_ready(EVENT_READ, now)
+            # The kernel resets connections that are not accepted when the port closes;
+            # its queue holds one more than the backlog.
+            yield from self._listener.accept(LISTEN_BACKLOG + 1, now)
             self._close_listener()
         for conn in list(self._conns):
             yield from conn.begin_close(now)
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -18,7 +18,13 @@
 from monsoonmill.decisions.lifecycle.signals import DrainStarted
 from monsoonmill.http1.client import BackendPool
 from monsoonmill.http1.messages import ConnectionLimits
-from monsoonmill.http1.server import LINGER_S, SWEEP_INTERVAL_S, WebApp, WebServer
+from monsoonmill.http1.server import (
+    ACCEPT_BATCH,
+    LINGER_S,
+    SWEEP_INTERVAL_S,
+    WebApp,
+    WebServer,
+)
 from monsoonmill.load.launcher import free_port
 from monsoonmill.model import Address, HttpRequest, HttpResponse
 from monsoonmill.platform.backend import PlatformBackendProtocol
@@ -207,6 +213,19 @@
     callers.run_until(lambda: callers.component.connection_count == 0)
 
 
+# Connections behind the first batch in the accept queue were reset.
+def test_all_connections_in_the_accept_queue_are_answered_before_the_port_closes(
+    callers,
+):
+    socks = [connect(callers) for _ in range(ACCEPT_BATCH + 5)]
+    for sock in socks:
+        sock.sendall(b"GET /now HTTP/1.1\r\nHost: a\r\n\r\n")
+    begin_close(callers)
+    for sock in socks:
+        assert read_to_end(sock).endswith(b"now")
+        sock.close()
+
+
 def test_request_that_crosses_the_end_of_an_idle_connection_resets_nothing(callers):
     sock = connect(callers)
     sock.sendall(b"GET /now HTTP/1.1\r\nHost: a\r\n\r\n")
