Remove streams that close at once from the selector

At the end of a stop callers' requests were left without an answer for close_ms and then reset, if the node was connecting to another one, for instance one that was down, in the same moment: such a stream closes its socket in begin_close, but it stayed in the selector until the next tick. The next accepted connections got its descriptor, registering it raised KeyError ('already registered'), and that ended begin_close of the callers' port half-way.

begin_close of the transport now removes the streams that it has closed.

--- a/src/monsoonmill/node/peer_transport.py
+++ b/src/monsoonmill/node/peer_transport.py
@@ -300,13 +300,15 @@
         """Whether any stream has data to write."""
         return any(stream.wants_to_write(True) for stream in self._streams)
 
-    def begin_close(self) -> None:
-        """Stop accepting connections and start to close all streams."""
+    def begin_close(self) -> Iterator[object]:
+        """Stop accepting connections and start to close all streams; yield signals."""
         self._is_closing = True
         self._selector.unregister(self._listener)
         self._listener.close()
-        for stream in self._streams:
+        for stream in list(self._streams):
             stream.begin_close()
+            # The next socket may get the descriptor of a stream that closed at once.
+            yield from self._process_events(stream)
         self._flush_pending |= self._streams
 
     def close(self) -> None:
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -185,7 +185,7 @@
         started_at = self._clock.now()
         self._closes_at = started_at + self._cfg.drain.close_ms / 1000
         log.info("closing", **self._open_sockets())
-        self._transport.begin_close()
+        self._handle_signals(self._transport.begin_close(), started_at)
         for component in self._components:
             self._handle_signals(component.begin_close(started_at), started_at)
         while self._has_open_sockets() and self._clock.now() < self._closes_at:
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -29,6 +29,7 @@
 from monsoonmill.settings import Settings
 
 HOST = "127.0.0.1"
+UNREACHABLE = Address("192.0.2.1", 9)
 STEP_S = 0.05
 SETTLE_STEPS = 20
 
@@ -207,7 +208,7 @@
 
 
 def close_streams(node):
-    node.transport.begin_close()
+    node.signals.extend(node.transport.begin_close())
 
 
 # A node that closed its streams went on opening new ones, and never had none.
@@ -233,3 +234,14 @@
     close_streams(node_a)
     pair.advance(0.5)
     assert not node_a.transport.has_streams
+
+
+# The selector kept the descriptor, and the next connection of a caller failed with it.
+def test_stream_that_closes_at_once_leaves_the_selector(pair):
+    node_a, _ = pair.nodes
+    node_a.transport.connect(UNREACHABLE, pair.now)
+    (stream,) = node_a.transport._streams
+    descriptor = stream.sock.fileno()
+    close_streams(node_a)
+    assert descriptor not in node_a.selector.get_map()
+    assert not node_a.transport.has_streams
