Send the goodbye of a stream behind its long messages

Replies and forwarded requests of more than peers.chunk_bytes were lost without a sign if the stream was closed while they were being sent: the caller waited until its deadline. That happens when a node is stopped before its last answers are sent, and when the request of one node crosses the goodbye of the other.

The goodbye is a short frame, which the send queue puts before the parts of long messages, and the peer closes the stream when it receives it. The same parts were lost if both nodes said goodbye, and if the budget for other regions held them back.

The send queue now keeps the goodbye until nothing else is left, and a stream closes after both goodbyes only when it has sent all.

Evidence: the four new tests fail before and pass after.

--- a/src/monsoonmill/node/peer_stream.py
+++ b/src/monsoonmill/node/peer_stream.py
@@ -175,8 +175,11 @@
         self.send_goodbye(None)
 
     def send_goodbye(self, arg):
-        """Enqueue the goodbye; no messages are sent after it."""
-        self._enqueue(Goodbye())
+        """Enqueue the goodbye behind all messages, whose parts it must not overtake.
+
+        The peer closes the stream when it receives the goodbye.
+        """
+        self._record_sent(Goodbye(), self._send_queue.put_last(Goodbye()))
 
     def report_unreachable(self, arg):
         """Report that no connection could be established."""
@@ -222,7 +225,9 @@
         self.last_used = now
 
     def _enqueue(self, message):
-        size = self._send_queue.put(message)
+        self._record_sent(message, self._send_queue.put(message))
+
+    def _record_sent(self, message, size):
         if self.ledger is not None:
             self.ledger.record(self.node, message, size)
 
@@ -287,7 +292,7 @@
                 break
             written += sent
             del self._write_buffer[:sent]
-        else:
+        if not self._write_buffer and not self._send_queue:
             self.chart.send("flushed")
         return written
 
--- a/src/monsoonmill/node/send_queue.py
+++ b/src/monsoonmill/node/send_queue.py
@@ -50,13 +50,18 @@
         self._transfers: deque[Transfer] = deque()
         self._transfer_numbers = count(1)
         self._short_frames_since_part = 0
+        self._last_frame: ShortFrame | None = None
 
     def __bool__(self):
-        return bool(self._short_frames or self._transfers)
+        return bool(self._short_frames or self._transfers or self._last_frame)
 
     def has_frame(self, may_send_part: bool) -> bool:
         """Return whether a frame may be sent now."""
-        return bool(self._short_frames or (may_send_part and self._transfers))
+        has_part = may_send_part and self._transfers
+        return bool(self._short_frames or has_part or self._may_send_last_frame())
+
+    def _may_send_last_frame(self):
+        return self._last_frame is not None and not self._transfers
 
     def put(self, message: object) -> int:
         """Encode and append a message; return the size of its encoding in bytes."""
@@ -69,6 +74,12 @@
             )
         return len(data)
 
+    def put_last(self, message: object) -> int:
+        """Encode a message that is sent when no other one is left."""
+        data = self._codec.encode(message)
+        self._last_frame = ShortFrame(message, data)
+        return len(data)
+
     def next_frame(self, may_send_part: bool) -> bytes | None:
         """Remove and return the next frame; None if none may be sent.
 
@@ -86,6 +97,9 @@
         if can_send_part:
             self._short_frames_since_part = 0
             return self._next_part()
+        if self._may_send_last_frame():
+            frame, self._last_frame = self._last_frame, None
+            return frame.data
         return None
 
     def _next_part(self):
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -23,7 +23,7 @@
     Ping,
     Reply,
 )
-from monsoonmill.model import Address, HttpRequest
+from monsoonmill.model import Address, HttpRequest, HttpResponse
 from monsoonmill.node.peer_transport import PeerTransport
 from monsoonmill.reasons import Importance, Outcome, Reason
 from monsoonmill.settings import Settings
@@ -236,6 +236,56 @@
     assert not node_a.transport.has_streams
 
 
+LONG_BODY = bytes(4_000_000)
+
+
+def send_long_reply(sender, receiver, now):
+    resp = HttpResponse(200, (), LONG_BODY)
+    reply = Reply("attempt", Outcome.DONE, None, resp, 0, 0, Load())
+    sender.signals.extend(sender.transport.send(receiver.name, reply, now))
+
+
+# The goodbye overtook the parts of long messages, and the peer closed the stream.
+@pytest.mark.parametrize("is_closing", [False, True])
+def test_goodbye_does_not_overtake_a_long_reply(pair, is_closing):
+    node_a, node_b = pair.nodes
+    node_a.transport.connect(node_b.address, pair.now)
+    pair.settle()
+    if is_closing:
+        close_streams(node_a)
+        pair.settle()
+    send_long_reply(node_a, node_b, pair.now)
+    if not is_closing:
+        close_streams(node_a)
+    pair.advance(1.0)
+    assert node_b.count_signals(Received) == 1
+    assert not node_a.transport.has_streams
+
+
+def test_long_message_that_crosses_a_goodbye_arrives(pair):
+    node_a, node_b = pair.nodes
+    node_a.transport.connect(node_b.address, pair.now)
+    pair.settle()
+    close_streams(node_a)
+    node_a.signals.extend(node_a.transport.flush(pair.now))
+    send_long_reply(node_b, node_a, pair.now)
+    pair.advance(1.0)
+    assert node_a.count_signals(Received) == 1
+
+
+def test_long_reply_arrives_if_both_nodes_close_the_stream(pair):
+    node_a, node_b = pair.nodes
+    node_a.transport.connect(node_b.address, pair.now)
+    pair.settle()
+    send_long_reply(node_a, node_b, pair.now)
+    for node in pair.nodes:
+        close_streams(node)
+    pair.advance(1.0)
+    assert node_b.count_signals(Received) == 1
+    assert not node_a.transport.has_streams
+    assert not node_b.transport.has_streams
+
+
 # The selector kept the descriptor, and the next connection of a caller failed with it.
 def test_stream_that_closes_at_once_leaves_the_selector(pair):
     node_a, _ = pair.nodes
