Check that a backend server's connection has not ended before its reuse

A request that must not be repeated was answered 502 with an unknown outcome although its backend server never read it, if that had closed the idle connection and the task had not handled this yet: the request was sent on the ended connection, and its loss counts as a crash of the backend server too.

An idle connection with input, which is its end or bytes that nobody asked for, is closed and the next one is used. One that ends after the request was sent still may have run it.

--- a/src/monsoonmill/http1/client.py
+++ b/src/monsoonmill/http1/client.py
@@ -3,7 +3,14 @@
 from abc import ABC, abstractmethod
 from enum import Enum, unique
 from selectors import EVENT_READ, EVENT_WRITE, BaseSelector
-from socket import IPPROTO_TCP, SO_ERROR, SOL_SOCKET, TCP_NODELAY, socket
+from socket import (
+    IPPROTO_TCP,
+    MSG_PEEK,
+    SO_ERROR,
+    SOL_SOCKET,
+    TCP_NODELAY,
+    socket,
+)
 
 from monsoonmill.chart import bind_methods
 from monsoonmill.decisions.calls.signals import (
@@ -178,6 +185,20 @@
         self.chart.send("reuse")
         self.flush()
 
+    def has_input(self) -> bool:
+        """Return whether the idle connection has ended or has unexpected bytes.
+
+        The selector may not have reported it yet. A request that is sent on a
+        connection that has ended may have run, as far as the node can tell.
+        """
+        try:
+            self.sock.recv(1, MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
     def take_results(self) -> list[RunFinished]:
         """Remove and return the accumulated results."""
         results, self.results = self.results, []
@@ -326,7 +347,8 @@
     def _pop_idle(self, address: Address, now):
         while self._idle:
             conn = self._idle.pop()
-            if conn.address == address and now < conn.expires_at:
+            is_current = conn.address == address and now < conn.expires_at
+            if is_current and not conn.has_input():
                 return conn
             conn.chart.send("expire")
         return None
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -1,5 +1,6 @@
 """The HTTP server and the backend server's connections, on real sockets."""
 
+from select import select
 from selectors import DefaultSelector
 from socket import create_connection, create_server
 from threading import Thread
@@ -421,6 +422,23 @@
     loop.run_until(lambda: not loop.component._idle)
 
 
+# The request was sent on the ended connection and reported as possibly run.
+def test_idle_connection_that_has_ended_carries_no_further_request():
+    backend = RawBackend(SIGNED % b"a" + b"Content-Length: 2\r\n\r\nok", closes=False)
+    loop = ComponentLoop(BackendPool(PlatformBackendProtocol(), LIMITS))
+    loop.dispatch(loop.component.on_run, make_call(backend.address))
+    loop.run_until(lambda: loop.signals)
+    (conn,) = loop.component._idle
+    backend._socks[0].close()
+    select([conn.sock], [], [], 1.0)
+    loop.dispatch(loop.component.on_run, make_call(backend.address, attempt="2"))
+    assert conn.chart.finished
+    sock, _ = backend.listener.accept()
+    loop.run_until(lambda: loop.component._busy["2"].chart.state == "awaiting")
+    assert sock.recv(65536).startswith(b"GET /x ")
+    sock.close()
+
+
 def test_abort_closes_the_connection():
     backend = RawBackend(b"", closes=False)
     loop = ComponentLoop(BackendPool(PlatformBackendProtocol(), LIMITS))
