--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -19,7 +19,7 @@
 from monsoonmill.http1.messages import ConnectionLimits, encode_response
 from monsoonmill.http1.parsing import RequestReader
 from monsoonmill.model import Address, HttpRequest, HttpResponse
-from monsoonmill.node.network import Channel, NetworkComponent
+from monsoonmill.node.network import OUT_OF_DESCRIPTORS, Channel, NetworkComponent
 
 READ_BYTES = 1 << 16
 LISTEN_BACKLOG = 1024
@@ -301,6 +301,20 @@
     def __init__(self, sock: socket, server: "WebServer"):
         self.sock = sock
         self._server = server
+        self._is_registered = False
+        self.resume()
+
+    def resume(self) -> None:
+        """Wait for connections."""
+        if not self._is_registered:
+            self._is_registered = True
+            self._server.selector.register(self.sock, EVENT_READ, self)
+
+    def pause(self) -> None:
+        """Don't wait for connections; the selector would report them all the time."""
+        if self._is_registered:
+            self._is_registered = False
+            self._server.selector.unregister(self.sock)
 
     def on_error(self, now: float):
         """Do nothing, since the port stays open."""
@@ -319,6 +333,8 @@
                 return
             except OSError as exc:
                 request_log.write("accept_failed", error=str(exc))
+                if exc.errno in OUT_OF_DESCRIPTORS:
+                    self.pause()
                 return
             yield from self._server.add_connection(sock, now)
 
@@ -367,7 +383,6 @@
         # Accepted connections inherit the option.
         sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         self._listener = Listener(sock, self)
-        selector.register(sock, EVENT_READ, self._listener)
         self._next_sweep_at = now + SWEEP_INTERVAL_S
 
     def next_call_name(self) -> str:
@@ -404,6 +419,11 @@
         self._pending.pop(conn.call, None)
         self.selector.unregister(conn.sock)
         conn.sock.close()
+        self._resume_accepting()
+
+    def _resume_accepting(self):
+        if self._listener is not None:
+            self._listener.resume()
 
     @property
     def in_progress(self) -> int:
@@ -443,6 +463,8 @@
         if now < self._next_sweep_at:
             return ()
         self._next_sweep_at = now + SWEEP_INTERVAL_S
+        # Other parts of the process may have closed descriptors.
+        self._resume_accepting()
         for conn in list(self._conns):
             if now >= conn.lingers_until:
                 conn.chart.send("linger_timeout")
@@ -473,6 +495,6 @@
 
     def _close_listener(self):
         if self._listener is not None:
-            self.selector.unregister(self._listener.sock)
+            self._listener.pause()
             self._listener.sock.close()
             self._listener = None
--- a/src/monsoonmill/node/network.py
+++ b/src/monsoonmill/node/network.py
@@ -2,11 +2,15 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Mapping
+from errno import EMFILE, ENFILE
 from selectors import BaseSelector
 
 SignalHandler = Callable[[object, float], Iterable[object]]
 """Executes a signal that leaves the core; yields signals for the core."""
 
+OUT_OF_DESCRIPTORS = (EMFILE, ENFILE)
+"""Errors of an accept that fails until the process closes other descriptors."""
+
 
 class Channel(ABC):
     """A socket registered with the selector of the node's task."""
--- a/src/monsoonmill/node/peer_transport.py
+++ b/src/monsoonmill/node/peer_transport.py
@@ -14,6 +14,7 @@
 from monsoonmill.eventlog import get_logger
 from monsoonmill.messages import Hello, Reply
 from monsoonmill.model import Address
+from monsoonmill.node.network import OUT_OF_DESCRIPTORS
 from monsoonmill.node.peer_stream import PeerStream, StreamDown, StreamMessage, StreamUp
 from monsoonmill.node.traffic_ledger import TrafficLedger
 from monsoonmill.settings import Settings
@@ -83,6 +84,7 @@
         self._flush_pending: set[PeerStream] = set()
         self.bytes_by_region: dict[str, int] = defaultdict(int)
         self._is_closing = False
+        self._is_accepting = True
         self._listener = create_server((cfg.node.host, cfg.node.peer_port), backlog=512)
         self._listener.setblocking(False)
         selector.register(self._listener, EVENT_READ, self)
@@ -161,7 +163,9 @@
         while True:
             try:
                 sock, (host, port) = self._listener.accept()
-            except OSError:
+            except OSError as exc:
+                if exc.errno in OUT_OF_DESCRIPTORS:
+                    self._pause_accepting()
                 return
             stream = PeerStream.accept(
                 sock,
@@ -174,6 +178,17 @@
             )
             self._add(stream)
 
+    def _pause_accepting(self):
+        """Don't wait for connections until the next tick."""
+        log.warning("accept_failed")
+        self._is_accepting = False
+        self._selector.unregister(self._listener)
+
+    def _resume_accepting(self):
+        if not self._is_accepting and not self._is_closing:
+            self._is_accepting = True
+            self._selector.register(self._listener, EVENT_READ, self)
+
     def on_ready(self, stream: PeerStream, mask: int, now: float) -> Iterator[object]:
         """Handle the readiness of a stream; yield signals for the core."""
         if stream.is_connecting and mask & EVENT_WRITE:
@@ -279,6 +294,7 @@
         if now < self._next_tick:
             return
         self._next_tick = now + TICK_INTERVAL_S
+        self._resume_accepting()
         for stream in list(self._streams):
             stream.tick(now)
             yield from self._process_events(stream)
@@ -303,7 +319,8 @@
     def begin_close(self) -> Iterator[object]:
         """Stop accepting connections and start to close all streams; yield signals."""
         self._is_closing = True
-        self._selector.unregister(self._listener)
+        if self._is_accepting:
+            self._selector.unregister(self._listener)
         self._listener.close()
         for stream in list(self._streams):
             stream.begin_close()
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -1,8 +1,10 @@
 """The HTTP server and the backend server's connections, on real sockets."""
 
+from contextlib import contextmanager
+from resource import RLIMIT_NOFILE, getrlimit, setrlimit
 from select import select
 from selectors import DefaultSelector
-from socket import create_connection, create_server
+from socket import create_connection, create_server, socket
 from threading import Thread
 from time import monotonic
 
@@ -297,6 +299,33 @@
     callers.run_until(lambda: server.in_progress == 0)
 
 
+@contextmanager
+def no_free_descriptors():
+    limits = getrlimit(RLIMIT_NOFILE)
+    with socket() as sock:
+        lowest_free = sock.fileno()
+    setrlimit(RLIMIT_NOFILE, (lowest_free, limits[1]))
+    try:
+        yield
+    finally:
+        setrlimit(RLIMIT_NOFILE, limits)
+
+
+# The port was reported as ready all the time, and the node's task did not wait.
+def test_port_without_free_descriptors_does_not_keep_the_task_awake(callers):
+    first, second = connect(callers), socket()
+    callers.run_until(lambda: callers.component._conns)
+    with no_free_descriptors():
+        second.connect((HOST, callers.component._address.port))
+        callers.run_until(lambda: not callers.selector.select(0))
+        first.close()
+        callers.run_until(lambda: not callers.component._conns)
+    second.sendall(b"GET /now HTTP/1.1\r\nHost: a\r\n\r\n")
+    callers.run_until(lambda: callers.component._conns)
+    assert second.recv(65536).endswith(b"now")
+    second.close()
+
+
 def test_caller_that_stops_reading_is_disconnected_after_the_idle_time(callers):
     server = callers.component
     sock = connect(callers)
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -27,6 +27,7 @@
 from monsoonmill.node.peer_transport import PeerTransport
 from monsoonmill.reasons import Importance, Outcome, Reason
 from monsoonmill.settings import Settings
+from tests.test_http_engine import no_free_descriptors
 
 HOST = "127.0.0.1"
 UNREACHABLE = Address("192.0.2.1", 9)
@@ -295,3 +296,13 @@
     close_streams(node_a)
     assert descriptor not in node_a.selector.get_map()
     assert not node_a.transport.has_streams
+
+
+def test_peer_port_without_free_descriptors_does_not_keep_the_task_awake(pair):
+    node_a, node_b = pair.nodes
+    with create_connection((node_a.address.host, node_a.address.port)):
+        with no_free_descriptors():
+            node_a.step(pair.now)
+            assert not node_a.selector.select(0.1)
+        pair.advance(0.5)
+        assert node_a.transport.stream_count == 1
