Read an idle connection once more before its idle time ends it

Callers that don't read their answer are still disconnected at once.

Evidence: the new test fails before (connection reset) and passes after.

--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -459,22 +459,28 @@
         return self._next_sweep_at
 
     def tick(self, now):
-        """Close idle and stalled connections; reject requests with overdue headers."""
+        """Close idle and stalled connections; reject requests with overdue headers.
+
+        A request that has arrived on an idle connection is served.
+        """
         if now < self._next_sweep_at:
             return ()
         self._next_sweep_at = now + SWEEP_INTERVAL_S
         # Other parts of the process may have closed descriptors.
         self._resume_accepting()
+        signals = []
         for conn in list(self._conns):
             if now >= conn.lingers_until:
                 conn.chart.send("linger_timeout")
                 continue
             is_unused = now - conn.last_used_at > self.limits.idle_s
-            if conn.awaits_request and is_unused:
+            if is_unused and conn.is_idle:
+                signals.extend(conn.begin_close(now))
+            elif is_unused and conn.awaits_request:
                 conn.abort()
             elif self._are_headers_overdue(conn, now):
                 conn.reject(408, "the headers came too slowly")
-        return ()
+        return signals
 
     def _are_headers_overdue(self, conn, now):
         awaits_headers = not conn.reader.is_idle and not conn.reader.has_headers
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -311,6 +311,18 @@
         setrlimit(RLIMIT_NOFILE, limits)
 
 
+# Closing a socket with unread input reset the connection.
+def test_request_that_arrives_as_the_idle_time_ends_is_answered(callers):
+    sock = connect(callers)
+    callers.run_until(lambda: callers.component._conns)
+    (conn,) = callers.component._conns
+    sock.sendall(b"GET /now HTTP/1.1\r\nHost: a\r\n\r\n")
+    select([conn.sock], [], [], 1.0)
+    list(callers.component.tick(monotonic() + LIMITS.idle_s + 5.0))
+    assert sock.recv(65536).endswith(b"now")
+    sock.close()
+
+
 # The port was reported as ready all the time, and the node's task did not wait.
 def test_port_without_free_descriptors_does_not_keep_the_task_awake(callers):
     first, second = connect(callers), socket()
