Answer calls that a drain cuts off with their outcome in monsoon-node

Callers of monsoon-node whose calls were in progress when drain.limit_s ended got a bare 500 without Monsoon-Outcome: the node's task answers them with ShuttingDown, which the front end tried to render as an Answer.

They get 503 with the reason 'draining' and the outcome 'unknown', since they may be running.

Evidence: the new test fails before (AttributeError) and passes after.

--- a/src/monsoonmill/node/ingress.py
+++ b/src/monsoonmill/node/ingress.py
@@ -22,6 +22,7 @@
     TIMEOUT,
     returned_headers,
 )
+from monsoonmill.node.task import ShuttingDown
 from monsoonmill.node.task_client import NodeTaskClient
 from monsoonmill.node.web import App, Problem, WebRequest, WebResponse
 from monsoonmill.reasons import HTTP_STATUS, Outcome, Reason
@@ -123,6 +124,9 @@
             return render_answer(answer)
         reply = self.task_client.start_call(arrival)
         answer = self._await_answer(name, reply, raw_req)
+        if isinstance(answer, ShuttingDown):
+            # The drain has timed out, and the call may be running.
+            answer = Answer(name, Outcome.UNKNOWN, reason=Reason.DRAINING)
         return None if answer is None else render_answer(answer)
 
     def _await_answer(self, name, reply: Inbox, raw_req):
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -5,8 +5,13 @@
 from threading import Thread
 
 from monsoonmill.counters import Counters
-from monsoonmill.node.web import App, AppServer, WebResponse
+from monsoonmill.node.headers import OUTCOME
+from monsoonmill.node.ingress import CallApp
+from monsoonmill.node.task import ShuttingDown
+from monsoonmill.node.web import App, AppServer, WebRequest, WebResponse
+from monsoonmill.reasons import Outcome
 from monsoonmill.settings import Settings
+from monsoonmill.task import Inbox
 
 
 class EchoApp(App):
@@ -29,6 +34,26 @@
         thread.join(5)
 
 
+class ClientOfStoppedTask:
+    """Client of a node's task whose drain times out while its calls run."""
+
+    def next_name(self):
+        return "1"
+
+    def start_call(self, arrival):
+        reply = Inbox()
+        reply.post(ShuttingDown())
+        return reply
+
+
+# The rendering of the answer failed, and the caller got a 500 without an outcome.
+def test_call_that_a_drain_cuts_off_is_answered_with_its_outcome():
+    req = WebRequest("GET", "/profiles/1", (), b"")
+    resp = CallApp(ClientOfStoppedTask()).respond(req, None)
+    assert resp.status == 503
+    assert (OUTCOME, Outcome.UNKNOWN.value) in resp.headers
+
+
 def exchange(server, request):
     """Send bytes and return all received bytes until the server closes."""
     with create_connection(("127.0.0.1", server.port), timeout=5) as sock:
