End kept connections with their next response when monsoon-node drains

From the start of a drain each response says Connection: close. Connections that are idle until the end, and those in the accept queue, are still closed with what they have sent.

--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -105,6 +105,8 @@
 
     def drain(self) -> None:
         """Leave the fleet and wait until no call is in progress."""
+        for server in self.servers:
+            server.end_connections()
         self.task.post(DrainRequested())
         drain = self.cfg.drain
         self.task.drained.wait(drain.limit_s + drain.settle_ms / 1000 + 1)
--- a/src/monsoonmill/node/web.py
+++ b/src/monsoonmill/node/web.py
@@ -220,6 +220,10 @@
         """Port that the server listens on; valid after ``prepare``."""
         return self.bind_addr[1]
 
+    def end_connections(self) -> None:
+        """End each connection with its next response; any thread may call this."""
+        self.keep_alive_conn_limit = 0
+
     def error_log(self, msg="", level=20, traceback=False):
         """Count and log an error that cheroot reports."""
         self.counters.add("http-errors")
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -2,11 +2,12 @@
 
 from contextlib import contextmanager
 from socket import create_connection
-from threading import Thread
+from threading import Event, Thread
 
 from monsoonmill.counters import Counters
 from monsoonmill.node.headers import OUTCOME
 from monsoonmill.node.ingress import CallApp
+from monsoonmill.node.program import Node
 from monsoonmill.node.task import ShuttingDown
 from monsoonmill.node.web import App, AppServer, WebRequest, WebResponse
 from monsoonmill.reasons import Outcome
@@ -46,6 +47,17 @@
         return reply
 
 
+class StoppedTask:
+    """Task of a node whose drain has ended."""
+
+    def __init__(self):
+        self.drained = Event()
+        self.drained.set()
+
+    def post(self, message):
+        pass
+
+
 # The rendering of the answer failed, and the caller got a 500 without an outcome.
 def test_call_that_a_drain_cuts_off_is_answered_with_its_outcome():
     req = WebRequest("GET", "/profiles/1", (), b"")
@@ -70,6 +82,24 @@
     assert received.endswith(b"\r\n\r\n/b")
 
 
+# Callers learned only from a reset that a stopping node had closed its connections.
+def test_each_connection_ends_with_its_next_response_during_a_drain():
+    node = Node.__new__(Node)
+    node.cfg = Settings.from_dict({})
+    node.task = StoppedTask()
+    with running_server() as (server, _):
+        node.servers = (server,)
+        request = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+        with create_connection(("127.0.0.1", server.port), timeout=5) as sock:
+            sock.sendall(request)
+            assert b"Connection: close" not in sock.recv(65536)
+            node.drain()
+            sock.sendall(request)
+            received = b"".join(iter(lambda: sock.recv(65536), b""))
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"Connection: close" in received
+
+
 def test_malformed_request_is_rejected_and_counted_and_affects_no_other():
     with running_server() as (server, counters):
         assert b" 400 " in exchange(server, b"GARBAGE\r\n\r\n")
