Handle signals before a node's program imports anything else

Callers found a node gone whose settings changed while it started: SIGHUP in the first half second ended the process, and SIGTERM ended it with -15 in place of 0 (FAULT).

Cause: handlers were installed after all imports and after the node file was read. They also ran between two steps of the main thread, where a second signal could wait for the lock that the first one held, and a reload ran inside of one.

Now the program's module installs handlers first; the node (platform/node.py, moved from platform/program.py) is imported after that. The interpreter writes signals to a pipe, from which the main thread takes them as messages; equal ones that wait count once. A stop that comes before the node is built ends the process with 0.

--- a/src/monsoonmill/platform/program.py
+++ b/src/monsoonmill/platform/program.py
@@ -1,149 +1,19 @@
 """Program that runs a node on the platform."""
 
-import gc
-import os
 import sys
-from secrets import token_hex
-from signal import SIGHUP, SIGINT, SIGTERM, signal
-from threading import Event
 
-from monsoonmill.clock import SystemClock
-from monsoonmill.codec_msgpack import MsgpackCodec
-from monsoonmill.counters import Counters
-from monsoonmill.decisions.core import NodeCore
-from monsoonmill.decisions.lifecycle.signals import DrainRequested
-from monsoonmill.errors import USER_ERROR_STATUS, UserError
-from monsoonmill.eventlog import get_logger, request_log
-from monsoonmill.http1.client import BackendPool
-from monsoonmill.http1.messages import ConnectionLimits
-from monsoonmill.http1.server import WebServer
-from monsoonmill.logs import configure_logging
-from monsoonmill.messages import PEER_MESSAGES
-from monsoonmill.node.incarnation import new_incarnation
-from monsoonmill.node.operators import OperatorApp
-from monsoonmill.node.task import JOIN_MARGIN_S, NodeTask
-from monsoonmill.platform.backend import PlatformBackendProtocol
-from monsoonmill.platform.callers import CallerApp
-from monsoonmill.platform.config_codec import StoredConfigCodec
-from monsoonmill.platform.heartbeats import HeartbeatApp
-from monsoonmill.platform.readiness import ReadinessApp
-from monsoonmill.platform.settings import NodeFile
-from monsoonmill.platform.store_client import KvClient
-from monsoonmill.process import exit_process
-
-NODE_FILE_VARIABLE = "MONSOONMILL_NODE_FILE"
-TOKEN_BYTES = 16
-HEADER_TIMEOUT_S = 10.0
-"""Time limit for a request's headers; operators give clients less time."""
-BACKEND_IDLE_TIMEOUT_S = 8.0
-"""Below the 10 s after which backend servers close idle connections."""
-GC_THRESHOLD = 50_000
-"""Allocations between collections; few of a call's objects are in cycles."""
-
-log = get_logger("program")
-
-
-class PlatformProgram:
-    """A node with the platform's HTTP interfaces."""
-
-    def __init__(self, path: str):
-        self._path = path
-        self.node_file = node_file = NodeFile.from_file(path)
-        cfg = node_file.settings
-        self._stopped = Event()
-        clock = SystemClock()
-        self.core = NodeCore(
-            cfg,
-            cfg.node.peer_address,
-            new_incarnation(),
-            StoredConfigCodec(),
-            lambda: token_hex(TOKEN_BYTES),
-            Counters(),
-        )
-        limits = ConnectionLimits(
-            cfg.http.max_header_bytes,
-            cfg.http.max_body_bytes,
-            float(cfg.http.idle_connection_s),
-            HEADER_TIMEOUT_S,
-            cfg.http.max_buffered_bytes,
-        )
-        operator_app = OperatorApp(self.core, lambda: self.task.latency)
-        caller_server = WebServer(
-            node_file.callers_address, CallerApp(node_file.service), limits
-        )
-        components = (
-            WebServer(node_file.readiness_address, ReadinessApp(self.is_ready), limits),
-            WebServer(
-                node_file.heartbeats_address,
-                HeartbeatApp(node_file.backend_address, clock),
-                limits,
-            ),
-            WebServer(node_file.operators_address, operator_app, limits),
-            caller_server,
-            BackendPool(
-                PlatformBackendProtocol(),
-                ConnectionLimits(
-                    cfg.http.max_header_bytes,
-                    cfg.http.max_body_bytes,
-                    BACKEND_IDLE_TIMEOUT_S,
-                    HEADER_TIMEOUT_S,
-                    cfg.http.max_buffered_bytes,
-                ),
-            ),
-        )
-        self.task = NodeTask(
-            cfg,
-            self.core,
-            MsgpackCodec(PEER_MESSAGES),
-            clock,
-            components,
-            KvClient.from_settings,
-        )
-
-    def is_ready(self) -> bool:
-        """Return whether the node accepts calls."""
-        has_config = self.core.view.config.revision > 0
-        return has_config and self.task.ready.is_set() and not self._stopped.is_set()
-
-    def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, drain, and return."""
-        for signal_number in (SIGTERM, SIGINT):
-            signal(signal_number, lambda *_: self._stopped.set())
-        signal(SIGHUP, lambda *_: self._reload())
-        self.task.start()
-        log.info("started", node=self.core.node, service=self.node_file.service)
-        self._stopped.wait()
-        log.info("stopping", node=self.core.node)
-        self.task.post(DrainRequested())
-        drain = self.node_file.settings.drain
-        is_drained = self.task.drained.wait(drain.settle_ms / 1000 + drain.limit_s)
-        self.task.stop()
-        has_closed = self.task.join(drain.close_ms / 1000 + JOIN_MARGIN_S)
-        log.info(
-            "ended", node=self.core.node, drained=is_drained, sockets_closed=has_closed
-        )
-
-    def _reload(self):
-        """Read the node file again and log whether a restart would apply changes."""
-        try:
-            node_file = NodeFile.from_file(self._path)
-        except UserError as exc:
-            log.warning("reload_failed", error=str(exc))
-            return
-        log.info("reloaded", changed=node_file != self.node_file)
+from monsoonmill.process import ProcessInbox, exit_process
 
 
 def main() -> int:
     """Run the program and return its exit status."""
-    configure_logging("info", json_lines=True)
-    request_log.set_nonblocking()
-    gc.set_threshold(GC_THRESHOLD)
-    try:
-        program = PlatformProgram(os.environ.get(NODE_FILE_VARIABLE, ""))
-    except UserError as exc:
-        sys.stderr.write(f"{exc}\n")
-        return USER_ERROR_STATUS
-    program.run()
+    inbox = ProcessInbox.install()
+    # These imports take most of a start, in which signals come too.
+    from monsoonmill.platform.node import serve
+
+    status = serve(inbox)
+    if status:
+        return status
     exit_process(0)
 
 
--- a/src/monsoonmill/process.py
+++ b/src/monsoonmill/process.py
@@ -1,11 +1,81 @@
-"""The end of a program's process."""
+"""The start and the end of a program's process.
+
+Programs import this module before all others, so it imports little itself.
+"""
 
 import os
 import sys
-from typing import NoReturn
+from collections import deque
+from select import select
+from signal import SIGHUP, SIGINT, SIGTERM, set_wakeup_fd, signal
+
+STOP_SIGNALS = frozenset((SIGTERM, SIGINT))
+HANDLED_SIGNALS = (*STOP_SIGNALS, SIGHUP)
+READ_BYTES = 4096
+MESSAGE_POSTED = 0
+"""Byte in the pipe for a message; the others are the numbers of signals."""
+
+
+class ProcessInbox:
+    """Inbox of the main thread: signals, and messages of tasks.
+
+    The interpreter writes the number of each signal to a pipe, at any moment and in any
+    thread. Handlers in Python would run only between two steps of the main thread, and
+    could wait for a lock that the interrupted step holds.
+    """
+
+    def __init__(self):
+        self._messages = deque()
+        self._reader, self._writer = os.pipe()
+        os.set_blocking(self._reader, False)
+        os.set_blocking(self._writer, False)
+
+    @classmethod
+    def install(cls) -> "ProcessInbox":
+        """Return an inbox that receives the signals of this process."""
+        inbox = cls()
+        set_wakeup_fd(inbox._writer, warn_on_full_buffer=False)
+        for number in HANDLED_SIGNALS:
+            signal(number, _ignore)
+        return inbox
+
+    def post(self, message: object) -> None:
+        """Append a message and wake the main thread; any thread may call this."""
+        self._messages.append(message)
+        try:
+            os.write(self._writer, bytes((MESSAGE_POSTED,)))
+        except BlockingIOError:
+            # The pipe is full, so a wake-up is pending already.
+            pass
+
+    def take(self, timeout_s: float | None = None) -> object | None:
+        """Return the next signal number or message, or None on timeout."""
+        while not self._messages:
+            select((self._reader,), (), (), timeout_s)
+            self._receive()
+            if timeout_s is not None:
+                break
+        return self._messages.popleft() if self._messages else None
+
+    def has_stop_signal(self) -> bool:
+        """Return whether a signal to stop was received and not taken yet."""
+        self._receive()
+        return any(message in STOP_SIGNALS for message in self._messages)
+
+    def _receive(self):
+        """Append the signals in the pipe; equal ones count once."""
+        try:
+            numbers = os.read(self._reader, READ_BYTES)
+        except BlockingIOError:
+            return
+        self._messages.extend(sorted(set(numbers) - {MESSAGE_POSTED}))
+
+
+def _ignore(number, frame):
+    """Leave a signal to the inbox; one without a handler would end the process."""
 
 
-def exit_process(status: int) -> NoReturn:
+def exit_process(status: int) -> None:
     """End the process without finalizing the interpreter.
 
     Finalization takes tenths of a second, in which threads are stopped wherever they
