Start without standard streams, on the null device

A node whose standard output or error was closed ended with status 1 when it started (FAULT). Had it gone on, a socket or a pipe would have taken descriptor 1, and log lines would have been written into it.

Programs now open the null device in place of each closed standard stream before they open anything else; run_service does the same for the other programs.

Output that nobody reads, and output whose reader is gone, was looked at too: no fault, before and after; the test stays.

--- a/src/monsoonmill/platform/program.py
+++ b/src/monsoonmill/platform/program.py
@@ -2,11 +2,12 @@
 
 import sys
 
-from monsoonmill.process import ProcessInbox, exit_process
+from monsoonmill.process import ProcessInbox, exit_process, replace_closed_streams
 
 
 def main() -> int:
     """Run the program and return its exit status."""
+    replace_closed_streams()
     inbox = ProcessInbox.install()
     # These imports take most of a start, in which signals come too.
     from monsoonmill.platform.node import serve
--- a/src/monsoonmill/process.py
+++ b/src/monsoonmill/process.py
@@ -12,6 +12,7 @@
 STOP_SIGNALS = frozenset((SIGTERM, SIGINT))
 HANDLED_SIGNALS = (*STOP_SIGNALS, SIGHUP)
 READ_BYTES = 4096
+STANDARD_DESCRIPTORS = (0, 1, 2)
 MESSAGE_POSTED = 0
 """Byte in the pipe for a message; the others are the numbers of signals."""
 
@@ -75,6 +76,23 @@
     """Leave a signal to the inbox; one without a handler would end the process."""
 
 
+def replace_closed_streams() -> None:
+    """Open the null device in place of each standard stream that is closed.
+
+    Otherwise a socket would get its descriptor, and log lines would be written into it.
+    """
+    for descriptor in STANDARD_DESCRIPTORS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The lowest free descriptor, which is this one, is taken.
+            os.open(os.devnull, os.O_RDWR)
+    if sys.stdout is None:
+        sys.stdout = open(1, "w", closefd=False)
+    if sys.stderr is None:
+        sys.stderr = open(2, "w", closefd=False)
+
+
 def exit_process(status: int) -> None:
     """End the process without finalizing the interpreter.
 
--- a/src/monsoonmill/program.py
+++ b/src/monsoonmill/program.py
@@ -11,6 +11,7 @@
 from fire.core import FireExit
 
 from monsoonmill.errors import USER_ERROR_STATUS, UserError
+from monsoonmill.process import replace_closed_streams
 
 
 class ArgumentsError(UserError):
@@ -47,6 +48,7 @@
     run : callable
         Takes the settings and returns the exit status.
     """
+    replace_closed_streams()
     try:
         settings = _parse_settings(load_settings, argv)
         return 0 if settings is None else run(settings)
--- a/tests/integration/test_platform_start.py
+++ b/tests/integration/test_platform_start.py
@@ -1,6 +1,9 @@
 """The first moments of a node process: signals, ports, settings and output."""
 
+import os
 from signal import SIGHUP, SIGTERM
+from subprocess import Popen
+from sys import executable
 from time import sleep
 
 import pytest
@@ -71,3 +74,60 @@
         sleep(0.05)
         host.process.send_signal(SIGHUP)
     assert host.process.wait(EXIT_TIMEOUT_S) == 0
+
+
+def launch_with_closed_streams(fleet, host):
+    command = 'exec "$0" -m monsoonmill.platform.program <&- >&- 2>&-'
+    host.process = Popen(
+        ["sh", "-c", command, executable],
+        env={**os.environ, "MONSOONMILL_NODE_FILE": host.node_file},
+    )
+
+
+# A node whose standard output was closed ended when it started.
+def test_node_starts_without_standard_streams(fleet):
+    host = fleet.hosts[0]
+    launch_with_closed_streams(fleet, host)
+    wait_until(host.is_ready)
+    wait_until(lambda: host.call().status == 200)
+    for descriptor in range(3):
+        assert os.readlink(f"/proc/{host.process.pid}/fd/{descriptor}") == "/dev/null"
+    fleet.stop(host)
+    assert host.process.wait(EXIT_TIMEOUT_S) == 0
+
+
+@pytest.fixture(params=["unread", "closed"])
+def output_pipes(request):
+    """Write ends of two pipes that are full, or whose read ends are closed."""
+    pipes = [os.pipe() for _ in range(2)]
+    for reader, writer in pipes:
+        if request.param == "closed":
+            os.close(reader)
+            continue
+        os.set_blocking(writer, False)
+        with pytest.raises(BlockingIOError):
+            while True:
+                os.write(writer, b"x" * 4096)
+        os.set_blocking(writer, True)
+    yield [writer for _, writer in pipes]
+    for reader, writer in pipes:
+        os.close(writer)
+        if request.param == "unread":
+            os.close(reader)
+
+
+def test_node_needs_no_reader_of_its_output(fleet, output_pipes):
+    host = fleet.hosts[0]
+    host.process = Popen(
+        [executable, "-m", "monsoonmill.platform.program"],
+        env={**os.environ, "MONSOONMILL_NODE_FILE": host.node_file},
+        stdout=output_pipes[0],
+        stderr=output_pipes[1],
+    )
+    wait_until(host.is_ready)
+    wait_until(lambda: host.call().status == 200)
+    for _ in range(20):
+        host.process.send_signal(SIGHUP)
+        assert host.call().status == 200
+    fleet.stop(host)
+    assert host.process.wait(EXIT_TIMEOUT_S) == 0
