Open a port that is taken at the start as soon as it is free

A node that found one of its ports taken when it started, for a second or so, failed for good (FAULT): with the callers', readiness, heartbeat or operators' port it stayed there without ports, never ready and never ended; with the peer port it ended with status 1.

Cause: each owner of a port opened it once, and the exception ended the node's task while the process went on.

A node is ready once all its ports are open, and a stop that comes before ends as any other.

Callers of WebServer.open in tests, which got an exception for a taken port, check is_listening now.

--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -4,22 +4,19 @@
 from collections.abc import Iterable
 from itertools import count
 from selectors import EVENT_READ, EVENT_WRITE, BaseSelector
-from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY, create_server, socket
+from socket import SHUT_WR, socket
 
 from monsoonmill.chart import bind_methods
 from monsoonmill.decisions.calls.signals import Answer, CallerDisconnected
 from monsoonmill.decisions.lifecycle.signals import DrainStarted
-from monsoonmill.errors import (
-    HttpMessageTooLargeError,
-    InvalidHttpMessageError,
-    SettingsError,
-)
+from monsoonmill.errors import HttpMessageTooLargeError, InvalidHttpMessageError
 from monsoonmill.eventlog import get_logger, request_log
 from monsoonmill.http1.buffer_budget import BufferBudget
 from monsoonmill.http1.messages import ConnectionLimits, encode_response
 from monsoonmill.http1.parsing import RequestReader
 from monsoonmill.model import Address, HttpRequest, HttpResponse
-from monsoonmill.node.network import OUT_OF_DESCRIPTORS, Channel, NetworkComponent
+from monsoonmill.node.listening_port import ListeningPort
+from monsoonmill.node.network import Channel, NetworkComponent
 
 READ_BYTES = 1 << 16
 LISTEN_BACKLOG = 1024
@@ -296,25 +293,10 @@
 
 
 class Listener(Channel):
-    """The listening socket of a port."""
+    """Accepts the connections of a server's port."""
 
-    def __init__(self, sock: socket, server: "WebServer"):
-        self.sock = sock
+    def __init__(self, server: "WebServer"):
         self._server = server
-        self._is_registered = False
-        self.resume()
-
-    def resume(self) -> None:
-        """Wait for connections."""
-        if not self._is_registered:
-            self._is_registered = True
-            self._server.selector.register(self.sock, EVENT_READ, self)
-
-    def pause(self) -> None:
-        """Don't wait for connections; the selector would report them all the time."""
-        if self._is_registered:
-            self._is_registered = False
-            self._server.selector.unregister(self.sock)
 
     def on_error(self, now: float):
         """Do nothing, since the port stays open."""
@@ -328,13 +310,11 @@
         """Accept up to ``limit`` connections and read what they have received."""
         for _ in range(limit):
             try:
-                sock, _ = self.sock.accept()
+                sock, _ = self._server.port.accept()
             except BlockingIOError:
                 return
             except OSError as exc:
                 request_log.write("accept_failed", error=str(exc))
-                if exc.errno in OUT_OF_DESCRIPTORS:
-                    self.pause()
                 return
             yield from self._server.add_connection(sock, now)
 
@@ -353,10 +333,11 @@
         self.budget = BufferBudget(limits.max_buffered_bytes)
         self.is_draining = False
         self.selector: BaseSelector | None = None
+        self.port: ListeningPort | None = None
         self._address = address
         self._app = app
         self._name_counter = count(1)
-        self._listener: Listener | None = None
+        self._listener = Listener(self)
         self._conns: set[CallerConnection] = set()
         self._pending: dict[str, CallerConnection] = {}
         self._next_sweep_at = 0.0
@@ -366,25 +347,19 @@
         return {Answer: self.on_answer, DrainStarted: self.on_drain_started}
 
     def open(self, selector: BaseSelector, now: float) -> None:
-        """Listen on the port.
-
-        Raises
-        ------
-        SettingsError
-            The address cannot be bound.
-        """
+        """Listen on the port, as soon as it is free."""
         self.selector = selector
-        address = (self._address.host, self._address.port)
-        try:
-            sock = create_server(address, backlog=LISTEN_BACKLOG)
-        except OSError as exc:
-            raise SettingsError("settings", str(self._address), str(exc)) from exc
-        sock.setblocking(False)
-        # Accepted connections inherit the option.
-        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-        self._listener = Listener(sock, self)
+        self.port = ListeningPort(
+            self._address, LISTEN_BACKLOG, selector, self._listener
+        )
+        self.port.open(now)
         self._next_sweep_at = now + SWEEP_INTERVAL_S
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether the port is open."""
+        return self.port is not None and self.port.is_open
+
     def next_call_name(self) -> str:
         """Return a unique name for a request."""
         return f"{self._address.port}/{next(self._name_counter)}"
@@ -422,8 +397,8 @@
         self._resume_accepting()
 
     def _resume_accepting(self):
-        if self._listener is not None:
-            self._listener.resume()
+        if self.port is not None:
+            self.port.resume()
 
     @property
     def in_progress(self) -> int:
@@ -446,23 +421,24 @@
     def begin_close(self, now: float):
         """Accept and serve what has arrived; close the port and idle connections."""
         self.is_draining = True
-        if self._listener is not None:
+        if self.is_listening:
             # The kernel resets connections that are not accepted when the port closes;
             # its queue holds one more than the backlog.
             yield from self._listener.accept(LISTEN_BACKLOG + 1, now)
-            self._close_listener()
+        self._close_port()
         for conn in list(self._conns):
             yield from conn.begin_close(now)
 
     def next_due(self):
-        """Return the time of the next sweep."""
-        return self._next_sweep_at
+        """Return the time of the next sweep or attempt to open the port."""
+        return min(self._next_sweep_at, self.port.next_due())
 
     def tick(self, now):
         """Close idle and stalled connections; reject requests with overdue headers.
 
         A request that has arrived on an idle connection is served.
         """
+        self.port.tick(now)
         if now < self._next_sweep_at:
             return ()
         self._next_sweep_at = now + SWEEP_INTERVAL_S
@@ -495,12 +471,10 @@
 
     def close(self) -> None:
         """Close the listening socket and all connections."""
-        self._close_listener()
+        self._close_port()
         for conn in list(self._conns):
             conn.abort()
 
-    def _close_listener(self):
-        if self._listener is not None:
-            self._listener.pause()
-            self._listener.sock.close()
-            self._listener = None
+    def _close_port(self):
+        if self.port is not None:
+            self.port.close()
--- a/src/monsoonmill/node/network.py
+++ b/src/monsoonmill/node/network.py
@@ -2,15 +2,11 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Mapping
-from errno import EMFILE, ENFILE
 from selectors import BaseSelector
 
 SignalHandler = Callable[[object, float], Iterable[object]]
 """Executes a signal that leaves the core; yields signals for the core."""
 
-OUT_OF_DESCRIPTORS = (EMFILE, ENFILE)
-"""Errors of an accept that fails until the process closes other descriptors."""
-
 
 class Channel(ABC):
     """A socket registered with the selector of the node's task."""
@@ -59,6 +55,11 @@
     def close(self) -> None:
         """Close all sockets immediately."""
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether all ports of the component are open."""
+        return True
+
     @property
     def in_progress(self) -> int:
         """Number of pending exchanges, for which a drain of the node waits."""
--- a/src/monsoonmill/node/peer_transport.py
+++ b/src/monsoonmill/node/peer_transport.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 from selectors import EVENT_READ, EVENT_WRITE, DefaultSelector
-from socket import SO_ERROR, SOL_SOCKET, create_server
+from socket import SO_ERROR, SOL_SOCKET
 
 from attrs import define
 
@@ -14,7 +14,7 @@
 from monsoonmill.eventlog import get_logger
 from monsoonmill.messages import Hello, Reply
 from monsoonmill.model import Address
-from monsoonmill.node.network import OUT_OF_DESCRIPTORS
+from monsoonmill.node.listening_port import ListeningPort
 from monsoonmill.node.peer_stream import PeerStream, StreamDown, StreamMessage, StreamUp
 from monsoonmill.node.traffic_ledger import TrafficLedger
 from monsoonmill.settings import Settings
@@ -22,6 +22,7 @@
 log = get_logger("peers")
 
 TICK_INTERVAL_S = 0.25
+LISTEN_BACKLOG = 512
 MESSAGE_OVERHEAD_BYTES = 1 << 20
 """Maximum size of a message in excess of its body."""
 
@@ -84,15 +85,14 @@
         self._flush_pending: set[PeerStream] = set()
         self.bytes_by_region: dict[str, int] = defaultdict(int)
         self._is_closing = False
-        self._is_accepting = True
-        self._listener = create_server((cfg.node.host, cfg.node.peer_port), backlog=512)
-        self._listener.setblocking(False)
-        selector.register(self._listener, EVENT_READ, self)
+        address = Address(cfg.node.host, cfg.node.peer_port)
+        self._port = ListeningPort(address, LISTEN_BACKLOG, selector, self)
+        self._port.open(now)
 
     @property
-    def port(self) -> int:
-        """Port on which connections of other nodes are accepted."""
-        return self._listener.getsockname()[1]
+    def is_listening(self) -> bool:
+        """Whether connections of other nodes are accepted."""
+        return self._port.is_open
 
     def set_address(
         self, node: str, address: Address, region: str, data_centre: str = ""
@@ -162,10 +162,8 @@
         """Accept the pending connections of other nodes."""
         while True:
             try:
-                sock, (host, port) = self._listener.accept()
-            except OSError as exc:
-                if exc.errno in OUT_OF_DESCRIPTORS:
-                    self._pause_accepting()
+                sock, (host, port) = self._port.accept()
+            except OSError:
                 return
             stream = PeerStream.accept(
                 sock,
@@ -178,17 +176,6 @@
             )
             self._add(stream)
 
-    def _pause_accepting(self):
-        """Don't wait for connections until the next tick."""
-        log.warning("accept_failed")
-        self._is_accepting = False
-        self._selector.unregister(self._listener)
-
-    def _resume_accepting(self):
-        if not self._is_accepting and not self._is_closing:
-            self._is_accepting = True
-            self._selector.register(self._listener, EVENT_READ, self)
-
     def on_ready(self, stream: PeerStream, mask: int, now: float) -> Iterator[object]:
         """Handle the readiness of a stream; yield signals for the core."""
         if stream.is_connecting and mask & EVENT_WRITE:
@@ -294,7 +281,8 @@
         if now < self._next_tick:
             return
         self._next_tick = now + TICK_INTERVAL_S
-        self._resume_accepting()
+        self._port.resume()
+        self._port.tick(now)
         for stream in list(self._streams):
             stream.tick(now)
             yield from self._process_events(stream)
@@ -319,9 +307,7 @@
     def begin_close(self) -> Iterator[object]:
         """Stop accepting connections and start to close all streams; yield signals."""
         self._is_closing = True
-        if self._is_accepting:
-            self._selector.unregister(self._listener)
-        self._listener.close()
+        self._port.close()
         for stream in list(self._streams):
             stream.begin_close()
             # The next socket may get the descriptor of a stream that closed at once.
@@ -330,7 +316,7 @@
 
     def close(self) -> None:
         """Close all sockets immediately."""
-        self._listener.close()
+        self._port.close()
         for stream in self._streams:
             stream.sock.close()
 
--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -63,18 +63,8 @@
 
     @classmethod
     def from_settings(cls, cfg: Settings) -> "Node":
-        """Return a node whose front ends are not open yet.
-
-        Raises
-        ------
-        SettingsError
-            The port for other nodes could not be opened.
-        """
-        try:
-            return cls(cfg)
-        except OSError as exc:
-            problem = f"{cfg.node.peer_port}: {exc.strerror}"
-            raise SettingsError("settings", "node.peer_port", problem) from exc
+        """Return a node whose front ends are not open yet."""
+        return cls(cfg)
 
     def _server(self, port, app, threads):
         cfg = self.cfg
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -72,7 +72,7 @@
     Attributes
     ----------
     ready : threading.Event
-        Set when the node can accept calls.
+        Set when the node can accept calls and all its ports are open.
     drained : threading.Event
         Set when nothing is in progress or left to send after a drain.
     """
@@ -117,6 +117,7 @@
         self._next_due = float("-inf")
         self._sockets_due = float("-inf")
         self._decision_log = DecisionLog(cfg.node, clock)
+        self._is_core_ready = False
         self._is_drained = False
         self._closes_at = float("inf")
         self._local_handlers = {
@@ -219,6 +220,7 @@
                 self._handle_signals(component.tick(now), now)
             self._handle_signals(self._transport.tick(now), now)
             self._sockets_due = self._find_sockets_due()
+            self._update_ready()
         self._handle_signals(self._transport.flush(now), now)
         if self._is_drained:
             is_busy = self._transport.has_unsent or any(
@@ -373,7 +375,17 @@
         )
 
     def _on_ready(self, signal):
-        self.ready.set()
+        self._is_core_ready = True
+        self._update_ready()
+
+    def _update_ready(self):
+        if self._is_core_ready and not self.ready.is_set() and self._is_listening():
+            self.ready.set()
+
+    def _is_listening(self):
+        return self._transport.is_listening and all(
+            component.is_listening for component in self._components
+        )
 
     def _on_drained(self, signal):
         log.info("drained")
--- a/tests/integration/test_platform_start.py
+++ b/tests/integration/test_platform_start.py
@@ -3,6 +3,7 @@
 import os
 from pathlib import Path
 from signal import SIGHUP, SIGTERM
+from socket import SO_REUSEADDR, SOL_SOCKET, create_connection, socket
 from subprocess import Popen
 from sys import executable
 from time import sleep
@@ -16,6 +17,7 @@
 EXIT_TIMEOUT_S = 8.0
 IMPORTED_LIBRARY = "/yaml/"
 """A library that is imported in the middle of a start."""
+OPERATORS_PORT = 9464
 
 
 @pytest.fixture
@@ -131,3 +133,42 @@
         assert host.call().status == 200
     fleet.stop(host)
     assert host.process.wait(EXIT_TIMEOUT_S) == 0
+
+
+def node_address(host, name):
+    return host.ip, OPERATORS_PORT if name == "operators" else host.ports[name]
+
+
+def take_port(host, name):
+    """Return a socket that listens on a port of a node."""
+    sock = socket()
+    sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+    sock.bind(node_address(host, name))
+    sock.listen()
+    return sock
+
+
+# A node that found a port taken when it started stayed without ports, or ended.
+@pytest.mark.parametrize("name", ["callers", "ready", "control", "operators", "peer"])
+def test_node_opens_a_port_that_is_taken_when_it_starts(fleet, name):
+    host = fleet.hosts[0]
+    with take_port(host, name):
+        fleet.launch(host)
+        wait_until(lambda: "port_blocked" in fleet.log(host))
+        sleep(0.5)
+        assert name == "ready" or not host.is_ready()
+    wait_until(host.is_ready)
+    assert fleet.log(host).count("port_blocked") == 1
+    assert fleet.log(host).count("port_opened") == 1
+    wait_until(lambda: host.call().status == 200)
+    create_connection(node_address(host, name), 1.0).close()
+
+
+def test_stop_of_a_node_whose_port_is_taken_ends_with_status_0(fleet):
+    host = fleet.hosts[0]
+    with take_port(host, "callers"), take_port(host, "peer"):
+        fleet.launch(host)
+        wait_until(lambda: fleet.log(host).count("port_blocked") == 2)
+        fleet.stop(host)
+        assert host.process.wait(EXIT_TIMEOUT_S) == 0
+    assert '"sockets_closed": true' in fleet.log(host)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -180,6 +180,7 @@
     def _listen(self, ip, port, app):
         server = WebServer(Address(ip, port), app, LIMITS)
         server.open(self._selector, self.clock.now())
+        assert server.is_listening
         self._servers.append((server, app))
 
     def _make_host(self, number, service, zones):
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -45,6 +45,7 @@
         self.component = component
         self.signals = []
         component.open(self.selector, monotonic())
+        assert component.is_listening
 
     def run_until(self, condition, limit_s=3.0):
         deadline = monotonic() + limit_s
