Wait for settings that are being replaced, and survive unusable ones

A node whose node file was empty or half written when it started ended with status 2. At SIGHUP a number without a bound ended a running node, and nested brackets by the thousand ended it too (FAULT): OverflowError and RecursionError were not taken as errors of the file.

The node now reads an unusable file again for 2 s at its start, logs that once, heeds a stop meanwhile and then ends with status 2 as before; all errors of reading are errors of the file, so a reload logs them and leaves the node as it is.

Evidence: test_platform_start, 5 of the tests of settings red on (empty, half written, stop meanwhile, infinite, nested), green now; wrong type, missing field and missing file were green before and stay tested.

--- a/src/monsoonmill/platform/node.py
+++ b/src/monsoonmill/platform/node.py
@@ -5,6 +5,7 @@
 import sys
 from secrets import token_hex
 from signal import SIGHUP
+from time import monotonic, sleep
 
 from monsoonmill.clock import SystemClock
 from monsoonmill.codec_msgpack import MsgpackCodec
@@ -36,6 +37,9 @@
 """Time limit for a request's headers; operators give clients less time."""
 BACKEND_IDLE_TIMEOUT_S = 8.0
 """Below the 10 s after which backend servers close idle connections."""
+NODE_FILE_WAIT_S = 2.0
+"""Time for which a node file that is unusable at the start is read again."""
+NODE_FILE_RETRY_S = 0.05
 GC_THRESHOLD = 50_000
 """Allocations between collections; few of a call's objects are in cycles."""
 
@@ -49,14 +53,16 @@
     ----------
     path : str
         Path of the node file.
+    node_file : NodeFile
+        Contents of the node file at the start.
     inbox : ProcessInbox
         Source of the signals to stop and to read the node file again.
     """
 
-    def __init__(self, path: str, inbox: ProcessInbox):
+    def __init__(self, path: str, node_file: NodeFile, inbox: ProcessInbox):
         self._path = path
         self._inbox = inbox
-        self.node_file = node_file = NodeFile.from_file(path)
+        self.node_file = node_file
         cfg = node_file.settings
         self._is_stopping = False
         clock = SystemClock()
@@ -141,18 +147,45 @@
         log.info("reloaded", changed=node_file != self.node_file)
 
 
+def read_node_file(path: str, inbox: ProcessInbox) -> NodeFile | None:
+    """Return the contents of the node file, or None if the process is to stop.
+
+    A file that is unusable may be in the middle of its replacement, so it is read again
+    for some time.
+
+    Raises
+    ------
+    SettingsError
+        The file is still unusable.
+    """
+    deadline = monotonic() + NODE_FILE_WAIT_S
+    has_failed = False
+    while not inbox.has_stop_signal():
+        try:
+            return NodeFile.from_file(path)
+        except UserError as exc:
+            if monotonic() >= deadline:
+                raise
+            if not has_failed:
+                log.warning("node_file_unusable", error=str(exc))
+            has_failed = True
+        sleep(NODE_FILE_RETRY_S)
+    return None
+
+
 def serve(inbox: ProcessInbox) -> int:
     """Run a node until it is told to stop; return the exit status."""
     configure_logging("info", json_lines=True)
     request_log.set_nonblocking()
     gc.set_threshold(GC_THRESHOLD)
+    path = os.environ.get(NODE_FILE_VARIABLE, "")
     try:
-        node = PlatformNode(os.environ.get(NODE_FILE_VARIABLE, ""), inbox)
+        node_file = read_node_file(path, inbox)
     except UserError as exc:
         sys.stderr.write(f"{exc}\n")
         return USER_ERROR_STATUS
-    if inbox.has_stop_signal():
+    if node_file is None:
         log.info("ended_before_start")
         return 0
-    node.run()
+    PlatformNode(path, node_file, inbox).run()
     return 0
--- a/src/monsoonmill/platform/settings.py
+++ b/src/monsoonmill/platform/settings.py
@@ -72,16 +72,17 @@
             doc = loads(Path(path).read_text(encoding="utf-8"))
         except OSError as exc:
             raise SettingsError(path, "file", exc.strerror or "unreadable") from exc
-        except (TOMLDecodeError, UnicodeDecodeError) as exc:
+        except (TOMLDecodeError, UnicodeDecodeError, RecursionError) as exc:
             raise SettingsError(path, "file", f"invalid TOML: {exc}") from exc
         try:
             return cls.from_document(doc, path)
         except (
-            KeyError,
+            ArithmeticError,
+            AttributeError,
+            LookupError,
+            MalformedMessageError,
             TypeError,
             ValueError,
-            IndexError,
-            MalformedMessageError,
         ) as exc:
             raise SettingsError(path, "field", f"{exc!r}") from exc
 
--- a/tests/integration/test_platform_start.py
+++ b/tests/integration/test_platform_start.py
@@ -78,6 +78,53 @@
     assert host.process.wait(EXIT_TIMEOUT_S) == 0
 
 
+# A node whose settings were being replaced when it started ended with status 2.
+@pytest.mark.parametrize("share", [0.0, 0.5], ids=["empty", "half_written"])
+def test_node_waits_for_settings_that_are_being_replaced(fleet, share):
+    host = fleet.hosts[0]
+    node_file = Path(host.node_file)
+    text = node_file.read_text()
+    node_file.write_text(text[: int(len(text) * share)])
+    fleet.launch(host)
+    wait_until(lambda: "node_file_unusable" in fleet.log(host))
+    node_file.write_text(text)
+    wait_until(host.is_ready)
+
+
+def test_stop_while_the_settings_are_unusable_ends_with_status_0(fleet):
+    host = fleet.hosts[0]
+    Path(host.node_file).write_text("")
+    fleet.launch(host)
+    wait_until(lambda: "node_file_unusable" in fleet.log(host))
+    fleet.stop(host)
+    assert host.process.wait(EXIT_TIMEOUT_S) == 0
+
+
+# A number without a bound in replaced settings ended the process at SIGHUP.
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ("memory_mb = 300", "memory_mb = inf"),
+        ("seeds = []", "seeds = [7]"),
+        ("seeds = []", "seeds = " + "[" * 5000),
+        ("internal_ports", "ports"),
+    ],
+    ids=["infinite", "wrong_type", "nested", "missing"],
+)
+def test_unusable_settings_leave_a_running_node_as_it_is(fleet, old, new):
+    host = fleet.start().hosts[0]
+    wait_until(lambda: host.call().status == 200)
+    node_file = Path(host.node_file)
+    node_file.write_text(node_file.read_text().replace(old, new))
+    host.process.send_signal(SIGHUP)
+    wait_until(lambda: "reload_failed" in fleet.log(host))
+    node_file.unlink()
+    host.process.send_signal(SIGHUP)
+    wait_until(lambda: fleet.log(host).count("reload_failed") == 2)
+    assert host.process.poll() is None
+    assert host.call().status == 200
+
+
 def launch_with_closed_streams(fleet, host):
     command = 'exec "$0" -m monsoonmill.platform.program <&- >&- 2>&-'
     host.process = Popen(
