Answer a long pipeline of requests without recursion

A caller that sent some hundreds of small requests at once, each answered at once (a refusal, readiness), saw its connection closed without an answer: each response served the next request one call deeper, until RecursionError closed the connection.

A response that is ready while its connection serves requests leaves the next one to the loop that serves them.

Evidence: the new test, 1000 requests, fails before and passes after.

--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -78,6 +78,7 @@
         self._mask = EVENT_READ
         self._req: HttpRequest | None = None
         self._allows_keep_alive = True
+        self._is_serving = False
         self._now = now
         self.chart = CALLER_CHART.start(self)
 
@@ -260,10 +261,17 @@
                 self._flush()
 
     def _serve(self, now):
-        while self.chart.state == "reading" and self.reader.requests:
-            self.request_started_at = None
-            self.chart.send("request_received")
-            yield from self._server.serve(self, self.call, self._req, now)
+        # A response that is ready at once calls this again; the loop below goes on.
+        if self._is_serving:
+            return
+        self._is_serving = True
+        try:
+            while self.chart.state == "reading" and self.reader.requests:
+                self.request_started_at = None
+                self.chart.send("request_received")
+                yield from self._server.serve(self, self.call, self._req, now)
+        finally:
+            self._is_serving = False
 
     def _flush(self):
         while self._send_buffer:
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -312,6 +312,12 @@
         setrlimit(RLIMIT_NOFILE, limits)
 
 
+# Each response served the next request one call deeper.
+def test_long_pipeline_of_requests_is_answered(callers):
+    requests = b"GET /now HTTP/1.1\r\n\r\n" * 1000
+    assert exchange(callers, requests, 1000).count(b"HTTP/1.1 200") == 1000
+
+
 # Closing a socket with unread input reset the connection.
 def test_request_that_arrives_as_the_idle_time_ends_is_answered(callers):
     sock = connect(callers)
