Count all limits of a stop from the request to stop

The waits of a stop followed one another, so that each late wake-up of the main thread delayed the end.

--- a/src/monsoonmill/platform/node.py
+++ b/src/monsoonmill/platform/node.py
@@ -128,11 +128,14 @@
                 self._reload()
         self._is_stopping = True
         log.info("stopping", node=self.core.node)
-        self.task.post(DrainRequested())
         drain = self.node_file.settings.drain
-        is_drained = self.task.drained.wait(drain.settle_ms / 1000 + drain.limit_s)
+        # All limits count from the request to stop, since the grace period does.
+        drained_by = monotonic() + drain.settle_ms / 1000 + drain.limit_s
+        closed_by = drained_by + drain.close_ms / 1000 + JOIN_MARGIN_S
+        self.task.post(DrainRequested())
+        is_drained = self.task.drained.wait(max(drained_by - monotonic(), 0.0))
         self.task.stop()
-        has_closed = self.task.join(drain.close_ms / 1000 + JOIN_MARGIN_S)
+        has_closed = self.task.join(max(closed_by - monotonic(), 0.0))
         log.info(
             "ended", node=self.core.node, drained=is_drained, sockets_closed=has_closed
         )
