Contain an unexpected error of one connection while a port closes

If serving what had arrived on one connection failed while a node closed its port, the connections behind it were not closed, and aborted at the end. The same error in a connection that had just been accepted left the others in the accept queue to be reset. Now it ends its own connection only.

--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -378,7 +378,7 @@
         conn = CallerConnection(sock, self, now)
         self._conns.add(conn)
         self.selector.register(sock, EVENT_READ, conn)
-        yield from conn.on_ready(EVENT_READ, now)
+        yield from self._contain_errors(conn, conn.on_ready(EVENT_READ, now), now)
 
     def serve(self, conn: CallerConnection, name: str, req: HttpRequest, now: float):
         """Respond to a request immediately, or yield the signal that it causes."""
@@ -435,7 +435,16 @@
             yield from self._listener.accept(LISTEN_BACKLOG + 1, now)
         self._close_port()
         for conn in list(self._conns):
-            yield from conn.begin_close(now)
+            yield from self._contain_errors(conn, conn.begin_close(now), now)
+
+    def _contain_errors(self, conn, signals, now):
+        """Yield the signals of a connection; an unexpected error ends only this one."""
+        try:
+            yield from signals
+        except Exception as exc:
+            log.warning("connection_failed", error=type(exc).__name__)
+            log.traceback()
+            yield from conn.on_error(now)
 
     def next_due(self):
         """Return the time of the next sweep or attempt to open the port."""
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -63,6 +63,8 @@
     def handle(self, name, req):
         if req.path == "/now":
             return HttpResponse(200, (), b"now")
+        if req.path == "/fails":
+            raise ValueError
         return CallArrived(name, "s", req)
 
     def render(self, answer):
@@ -230,6 +232,17 @@
         sock.close()
 
 
+# An error of one connection left all others open until they were aborted.
+def test_error_of_one_connection_does_not_keep_others_from_closing(callers):
+    socks = [connect(callers) for _ in range(3)]
+    callers.run_until(lambda: len(callers.component._conns) == len(socks))
+    socks.append(connect(callers))
+    for sock in (socks[0], socks[-1]):
+        sock.sendall(b"GET /fails HTTP/1.1\r\nHost: a\r\n\r\n")
+    begin_close(callers)
+    assert [conn.chart.state for conn in callers.component._conns] == ["lingering"] * 2
+
+
 def test_request_that_crosses_the_end_of_an_idle_connection_resets_nothing(callers):
     sock = connect(callers)
     sock.sendall(b"GET /now HTTP/1.1\r\nHost: a\r\n\r\n")
