End a process whose task has failed

A node whose task ended with an exception, at its start or later, stayed as it was: its ports open or not, nobody serving them, never ready and never ended, until SIGTERM and then the end of the grace period (FAULT). The same held for the tasks that call the platform.

A task now tells of its failure (TaskFailed); the main thread logs it and ends the process with status 1, so that the platform starts it again. monsoon-node does the same by its stop.

--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -25,6 +25,7 @@
 
 log = get_logger("program")
 
+FAILURE_STATUS = 1
 TOKEN_BYTES = 16
 ADMIN_THREADS = 3
 READY_TIMEOUT_S = 5.0
@@ -127,6 +128,7 @@
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     stop_requested = create_stop_event()
     node = Node.from_settings(cfg)
+    node.task.watch(lambda failure: stop_requested.set())
     node.start()
     log.info("started", node=node.core.node)
     print_ready_line(cfg.node.call_port)
@@ -134,7 +136,7 @@
     node.drain()
     node.stop()
     log.info("ended", node=node.core.node)
-    return 0
+    return FAILURE_STATUS if node.task.has_failed else 0
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -38,7 +38,7 @@
 from monsoonmill.settings import PlatformSettings, Settings
 from monsoonmill.store.client import PlatformClient, PlatformTask
 from monsoonmill.store.http_client import HttpPlatformClient
-from monsoonmill.task import Inbox, Stop, Task
+from monsoonmill.task import Inbox, Stop, Task, TaskFailed
 
 log = get_logger("node")
 
@@ -146,6 +146,18 @@
         client = self._make_client(self._cfg.platform)
         return PlatformTask(name, client, self._clock, self.post)
 
+    def watch(self, report: Callable[[TaskFailed], None]) -> None:
+        """Set what is called if this task or one that calls the platform fails."""
+        for task in (self._platform_task, self._watch_task):
+            task.watch(report)
+
+        def report_own(failure):
+            report(failure)
+            # Nobody is to wait for a drain that doesn't come.
+            self.drained.set()
+
+        super().watch(report_own)
+
     @property
     def latency(self) -> LatencyHistogram:
         """Latencies of all finished calls."""
--- a/src/monsoonmill/platform/node.py
+++ b/src/monsoonmill/platform/node.py
@@ -30,8 +30,10 @@
 from monsoonmill.platform.settings import NodeFile
 from monsoonmill.platform.store_client import KvClient
 from monsoonmill.process import STOP_SIGNALS, ProcessInbox
+from monsoonmill.task import TaskFailed
 
 NODE_FILE_VARIABLE = "MONSOONMILL_NODE_FILE"
+FAILURE_STATUS = 1
 TOKEN_BYTES = 16
 HEADER_TIMEOUT_S = 10.0
 """Time limit for a request's headers; operators give clients less time."""
@@ -119,13 +121,21 @@
         has_config = self.core.view.config.revision > 0
         return has_config and self.task.ready.is_set() and not self._is_stopping
 
-    def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, drain, and return."""
+    def run(self) -> int:
+        """Serve until SIGTERM or SIGINT, drain, and return the exit status.
+
+        A process whose task has failed ends at once, so that the platform starts it
+        again.
+        """
+        self.task.watch(self._inbox.post)
         self.task.start()
         log.info("started", node=self.core.node, service=self.node_file.service)
         while (message := self._inbox.take()) not in STOP_SIGNALS:
             if message == SIGHUP:
                 self._reload()
+            elif isinstance(message, TaskFailed):
+                log.warning("task_failed", task=message.task, error=message.error)
+                return FAILURE_STATUS
         self._is_stopping = True
         log.info("stopping", node=self.core.node)
         drain = self.node_file.settings.drain
@@ -139,6 +149,7 @@
         log.info(
             "ended", node=self.core.node, drained=is_drained, sockets_closed=has_closed
         )
+        return FAILURE_STATUS if self.task.has_failed else 0
 
     def _reload(self):
         """Read the node file again and log whether a restart would apply changes."""
@@ -190,5 +201,4 @@
     if node_file is None:
         log.info("ended_before_start")
         return 0
-    PlatformNode(path, node_file, inbox).run()
-    return 0
+    return PlatformNode(path, node_file, inbox).run()
--- a/src/monsoonmill/task.py
+++ b/src/monsoonmill/task.py
@@ -1,6 +1,7 @@
 """Tasks: threads that own their sockets and state and communicate by messages."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from queue import Empty, SimpleQueue
 from threading import Thread
 
@@ -13,6 +14,20 @@
     """Tells a task to stop once it has handled all earlier messages."""
 
 
+@frozen
+class TaskFailed:
+    """Tells that a task ended with an exception.
+
+    Attributes
+    ----------
+    task : str
+        Name of the task.
+    """
+
+    task: str
+    error: str
+
+
 class Inbox:
     """Thread-safe queue of messages; its reader blocks without polling."""
 
@@ -32,13 +47,25 @@
 
 
 class Task(ABC):
-    """A thread with an inbox; other threads do not access its state."""
+    """A thread with an inbox; other threads do not access its state.
+
+    Attributes
+    ----------
+    has_failed : bool
+        Whether the task ended with an exception.
+    """
 
     def __init__(self, name: str):
         self.name = name
+        self.has_failed = False
+        self._report: Callable[[TaskFailed], None] | None = None
         self.inbox = Inbox()
         self._thread = Thread(target=self._main, name=name, daemon=True)
 
+    def watch(self, report: Callable[[TaskFailed], None]) -> None:
+        """Set what is called, in the task's thread, if the task fails."""
+        self._report = report
+
     def start(self) -> "Task":
         """Start the thread and return the task."""
         self._thread.start()
@@ -60,8 +87,11 @@
     def _main(self):
         try:
             self.run()
-        except Exception:
+        except Exception as exc:
+            self.has_failed = True
             logging.exception("task %s failed", self.name)
+            if self._report is not None:
+                self._report(TaskFailed(self.name, repr(exc)))
             raise
 
     @abstractmethod
--- a/tests/integration/test_platform_start.py
+++ b/tests/integration/test_platform_start.py
@@ -219,3 +219,40 @@
         fleet.stop(host)
         assert host.process.wait(EXIT_TIMEOUT_S) == 0
     assert '"sockets_closed": true' in fleet.log(host)
+
+
+FAILING_NODE = """
+from monsoonmill.{module} import {cls}
+from monsoonmill.platform.program import main
+
+def fail(*args, **kwargs):
+    raise RuntimeError("injected")
+
+{cls}.{method} = fail
+main()
+"""
+
+
+# A node whose task had ended with an exception stayed, without serving or ending.
+@pytest.mark.parametrize(
+    ("module", "cls", "method"),
+    [
+        ("decisions.core", "NodeCore", "start"),
+        ("node.task", "NodeTask", "_find_sockets_due"),
+        ("store.client", "PlatformTask", "wait_s"),
+    ],
+    ids=["start", "step", "platform"],
+)
+def test_node_whose_task_fails_ends_and_logs_why(fleet, module, cls, method):
+    host = fleet.hosts[0]
+    script = FAILING_NODE.format(module=module, cls=cls, method=method)
+    with open(fleet.directory / f"{host.name}.log", "ab") as log:
+        host.process = Popen(
+            [executable, "-c", script],
+            env={**os.environ, "MONSOONMILL_NODE_FILE": host.node_file},
+            stdout=log,
+            stderr=log,
+        )
+    assert host.process.wait(EXIT_TIMEOUT_S) == 1
+    assert '"event": "task_failed"' in fleet.log(host)
+    assert "injected" in fleet.log(host)
