Refuse transfer codings other than chunked

Callers saw: an answer with 'Transfer-Encoding: gzip, chunked', or with two such lines, came as a success whose body was still in the inner coding; the header that says so is removed as it concerns one connection only.

Cause: the parser removes the chunked coding if it is the last one and leaves the others.

Evidence: tests/test_cut_answers.py has 3 cases red before (coding-before-chunks, coding-lines, chunks-twice) and passes now. The rest of the file passes before and after: answers cut at every byte of head and body, by FIN and by RST, on new and reused connections, behind another answer and in single bytes, for each framing, and malformed lengths.

The message is refused as soon as its head is whole: answers fail as invalid, requests get a 400.

--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -107,9 +107,19 @@
             raise HttpMessageTooLargeError("headers", self.max_header_bytes)
 
     def on_headers_complete(self):
-        """Record that the headers are complete."""
+        """Record that the headers are complete.
+
+        Raises
+        ------
+        InvalidHttpMessageError
+            The body has a transfer coding other than chunked.
+        """
         self._has_progressed = True
         self.has_headers = True
+        # The parser removes the chunked coding only, also behind another one.
+        codings = [v for name, v in self.headers if name.lower() == "transfer-encoding"]
+        if codings and [value.strip().lower() for value in codings] != ["chunked"]:
+            raise InvalidHttpMessageError(f"unknown transfer coding {codings}")
 
     def on_body(self, data):
         """Append a part of the body."""
--- /dev/null
+++ b/tests/test_cut_answers.py
@@ -0,0 +1,262 @@
+"""Answers of a backend server that break off, cut at every byte."""
+
+from itertools import count
+from selectors import DefaultSelector
+from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY, create_server
+from struct import pack
+from time import monotonic
+
+import pytest
+from attrs import frozen
+
+from monsoonmill.decisions.calls.signals import RunCall
+from monsoonmill.errors import ProtocolError
+from monsoonmill.http1.client import BackendPool
+from monsoonmill.http1.messages import ConnectionLimits
+from monsoonmill.http1.parsing import ResponseReader
+from monsoonmill.model import Address, HttpRequest
+from monsoonmill.platform.backend import PlatformBackendProtocol
+
+HOST = "127.0.0.1"
+LIMITS = ConnectionLimits(2048, 4096, 60.0, 10.0)
+ID = b"X-Monsoonmill-Attempt-Id: "
+SIGNATURE = b"X-Monsoonmill-Response-Signature: 3e1b.c9\r\n"
+START = b"HTTP/1.1 200 OK\r\n" + ID + b"%s\r\n" + SIGNATURE
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+BODY = b"hello world!"
+
+
+@frozen
+class Answer:
+    """An answer with its framing.
+
+    Attributes
+    ----------
+    start : bytes
+        Head, with a place for the id of the request.
+    rest : bytes
+        The framed body.
+    """
+
+    start: bytes
+    rest: bytes = BODY
+    body: bytes = BODY
+    method: str = "GET"
+    ends_with_connection: bool = False
+
+    def head(self, request_id):
+        return self.start % request_id
+
+    def wire(self, request_id):
+        return self.head(request_id) + self.rest
+
+
+ANSWERS = {
+    "length": Answer(START + b"Content-Length: 12\r\n\r\n"),
+    "length-first": Answer(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n"
+        + SIGNATURE
+        + ID
+        + b"%s\r\nDate: now\r\n\r\n"
+    ),
+    "chunks": Answer(
+        START + CHUNKED, b"005\r\nhello\r\n07;e=1\r\n world!\r\n000\r\n\r\n"
+    ),
+    "trailers": Answer(
+        START + b"Trailer: Digest\r\n" + CHUNKED,
+        b"c\r\nhello world!\r\n0\r\nDigest: crc=1\r\n\r\n",
+    ),
+    "end-of-stream": Answer(START + b"\r\n", ends_with_connection=True),
+    "no-content": Answer(START.replace(b"200 OK", b"204 None") + b"\r\n", b"", b""),
+    "not-modified": Answer(
+        START.replace(b"200 OK", b"304 Same") + b"Content-Length: 12\r\n\r\n", b"", b""
+    ),
+    "interim": Answer(
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: </x>\r\n\r\n"
+        + START
+        + b"Content-Length: 12\r\n\r\n"
+    ),
+}
+
+
+class CuttingServer:
+    """Answers requests in the thread of the test; closes with FIN or with RST."""
+
+    def __init__(self):
+        self.listener = create_server((HOST, 0))
+        self.address = Address(*self.listener.getsockname())
+        self.sock = None
+
+    def read_request(self):
+        if self.sock is None:
+            self.sock, _ = self.listener.accept()
+            self.sock.settimeout(3.0)
+            self.sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        data = b""
+        while not data.endswith(b"\r\n\r\n"):
+            chunk = self.sock.recv(65536)
+            assert chunk
+            data += chunk
+
+    def close(self, resets=False):
+        if resets:
+            self.sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+        self.sock.close()
+        self.sock = None
+
+
+class PlatformClient:
+    """Sends requests over the connections of the users' platform."""
+
+    def __init__(self, server):
+        self.server = server
+        self.pool = BackendPool(PlatformBackendProtocol(), LIMITS)
+        self.selector = DefaultSelector()
+        self.pool.open(self.selector, monotonic())
+        self._attempts = count()
+        self._results = []
+
+    def send(self, request_id=b"a", method="GET"):
+        headers = (("X-Monsoonmill-Attempt-Id", request_id.decode()),)
+        req = HttpRequest(method, "/x", headers)
+        attempt = str(next(self._attempts))
+        call = RunCall(attempt, self.server.address, req, 2.0, "", "haven", "i-1")
+        self._results = list(self.pool.on_run(call, monotonic()))
+        while self.pool._busy[attempt].chart.state == "connecting":
+            self._poll()
+        self.server.read_request()
+
+    def _poll(self):
+        for key, mask in self.selector.select(3.0):
+            self._results.extend(key.data.on_ready(mask, monotonic()))
+
+    def result(self):
+        deadline = monotonic() + 3.0
+        while not self._results:
+            assert monotonic() < deadline
+            self._poll()
+        (finished,) = self._results
+        return finished
+
+    def close(self):
+        self.pool.close()
+        self.selector.close()
+
+
+@pytest.fixture(params=[PlatformClient])
+def client(request):
+    server = CuttingServer()
+    client = request.param(server)
+    yield client
+    client.close()
+    server.listener.close()
+
+
+def check_cut(finished, answer, size, head_size, resets):
+    """Check that only a body that ends with its connection may be a success."""
+    if answer.ends_with_connection and size >= head_size and not resets:
+        assert finished.response.body == answer.body[: size - head_size]
+    else:
+        assert finished.response is None, (size, finished)
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+@pytest.mark.parametrize("resets", [False, True], ids=["fin", "rst"])
+@pytest.mark.parametrize("is_reused", [False, True], ids=["new", "reused"])
+def test_answer_that_breaks_off_is_no_success(client, name, resets, is_reused):
+    answer = ANSWERS[name]
+    wire, head_size = answer.wire(b"a"), len(answer.head(b"a"))
+    for size in range(len(wire)):
+        if is_reused:
+            client.send(b"first")
+            client.server.sock.sendall(ANSWERS["length"].wire(b"first"))
+            assert client.result().response.body == BODY
+        client.send()
+        client.server.sock.sendall(wire[:size])
+        client.server.close(resets)
+        check_cut(client.result(), answer, size, head_size, resets)
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+def test_whole_answer_is_a_success(client, name):
+    answer = ANSWERS[name]
+    client.send()
+    client.server.sock.sendall(answer.wire(b"a"))
+    client.server.close()
+    assert client.result().response.body == answer.body
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+def test_answer_that_breaks_off_behind_another_one_is_no_success(name):
+    server = CuttingServer()
+    client = PlatformClient(server)
+    answer = ANSWERS[name]
+    wire, head_size = answer.wire(b"a"), len(answer.head(b"a"))
+    for size in range(len(wire)):
+        client.send()
+        server.sock.sendall(ANSWERS["chunks"].wire(b"other") + wire[:size])
+        server.close()
+        check_cut(client.result(), answer, size, head_size, False)
+    client.close()
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+def test_answer_that_breaks_off_in_single_bytes_is_incomplete(name):
+    answer = ANSWERS[name]
+    wire, head_size = answer.wire(b"a"), len(answer.head(b"a"))
+    for size in range(len(wire)):
+        reader = ResponseReader(2048, 4096)
+        for position in range(size):
+            reader.feed(wire[position : position + 1])
+        assert not reader.responses
+        is_complete = answer.ends_with_connection and size >= head_size
+        assert reader.feed_eof() is is_complete
+
+
+# Each head is whole, so that only its own lines show that it can't be relied on.
+MALFORMED_HEADS = {
+    "length-empty": b"Content-Length:\r\n",
+    "length-twice": b"Content-Length: 12\r\nContent-Length: 12\r\n",
+    "lengths-differ": b"Content-Length: 5\r\nContent-Length: 12\r\n",
+    "length-list": b"Content-Length: 5, 12\r\n",
+    "length-signed": b"Content-Length: +5\r\n",
+    "length-not-a-number": b"Content-Length: 1x\r\n",
+    "length-spaced": b"Content-Length: 1 2\r\n",
+    "length-folded": b"Content-Length: 1\r\n 2\r\n",
+    "length-name-spaced": b"Content-Length : 5\r\n",
+    "length-and-chunks": b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+    "line-without-colon": b"Content-Le\r\nContent-Length: 12\r\n",
+    "coding-unknown": b"Transfer-Encoding: gzip\r\n",
+    "coding-cut": b"Transfer-Encoding: chunke\r\n",
+    "coding-empty": b"Transfer-Encoding:\r\n",
+    "coding-before-chunks": b"Transfer-Encoding: gzip, chunked\r\n",
+    "coding-lines": b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+    "chunks-before-coding": b"Transfer-Encoding: chunked, gzip\r\n",
+    "chunks-twice": b"Transfer-Encoding: chunked, chunked\r\n",
+}
+CHUNKED_BODY = b"c\r\nhello world!\r\n0\r\n\r\n"
+
+
+@pytest.mark.parametrize("lines", MALFORMED_HEADS.values(), ids=MALFORMED_HEADS)
+@pytest.mark.parametrize("rest", [BODY, CHUNKED_BODY, b""], ids=["raw", "chunks", "no"])
+def test_answer_with_malformed_framing_is_no_success(client, lines, rest):
+    client.send()
+    client.server.sock.sendall(START % b"a" + lines + b"\r\n" + rest)
+    client.server.close()
+    assert client.result().response is None
+
+
+@pytest.mark.parametrize(
+    "wire",
+    [
+        START % b"a" + b"X: 1\r\n 2\r\nContent-Length: 12\r\n\r\n" + BODY,
+        START.replace(b"\r\n", b"\n") % b"a" + b"Content-Length: 12\n\n" + BODY,
+        START % b"a" + b"Content-Length: 12\n\r\n" + BODY,
+        START % b"a" + CHUNKED + b"c\nhello world!\r\n0\r\n\r\n",
+        START % b"a" + CHUNKED + b"c\r\nhello world!\n0\r\n\r\n",
+        START % b"a" + CHUNKED + b"c\r\nhello world!\r\n0\n\n",
+    ],
+)
+def test_lines_that_end_otherwise_are_refused_by_the_parser(wire):
+    with pytest.raises(ProtocolError):
+        ResponseReader(2048, 4096).feed(wire)
