Report an answer that was whole before invalid bytes

Cause: an error of the parser dropped the responses that it had completed before.

Behind an answer to another request such bytes still fail the request.

What was complete is processed first, on a connection that is not used again; the connection then closes.

--- a/src/monsoonmill/http1/client.py
+++ b/src/monsoonmill/http1/client.py
@@ -251,6 +251,9 @@
                 return
         except ProtocolError as exc:
             log.info("bad_response", error=str(exc))
+            # A response that was complete before the invalid bytes is not affected.
+            self._allows_reuse = False
+            self._process_responses(now)
             self.close_broken()
             return
         self._process_responses(now)
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -260,3 +260,42 @@
 def test_lines_that_end_otherwise_are_refused_by_the_parser(wire):
     with pytest.raises(ProtocolError):
         ResponseReader(2048, 4096).feed(wire)
+
+
+@pytest.mark.parametrize("name", [key for key in ANSWERS if key != "end-of-stream"])
+@pytest.mark.parametrize(
+    "extra", [b"XX", b"HTTP/1.1 2", b"\0", b"HTTP/1.1 200 OK\r\n\r\nHTTP", b"a" * 9000]
+)
+def test_whole_answer_with_bytes_behind_it_is_a_success(client, name, extra):
+    answer = ANSWERS[name]
+    client.send()
+    client.server.sock.sendall(answer.wire(b"a") + extra)
+    assert client.result().response.body == answer.body
+    assert client.server.sock.recv(100) == b""
+
+
+def test_whole_answer_that_ends_its_connection_may_have_bytes_behind_it(client):
+    head = START % b"a" + b"Connection: close\r\nContent-Length: 12\r\n\r\n"
+    client.send()
+    client.server.sock.sendall(head + BODY + b"XX")
+    assert client.result().response.body == BODY
+
+
+def test_refusal_with_bytes_behind_it_is_a_refusal(client):
+    refusal = (
+        b"HTTP/1.1 503 Full\r\nX-Monsoonmill-Attempt-Id: a\r\n"
+        b"X-Monsoonmill-Not-Executed: full\r\nMonsoon-Outcome: not-run\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    client.send()
+    client.server.sock.sendall(refusal + b"XX")
+    assert client.result().not_run
+
+
+def test_bytes_behind_an_answer_to_another_request_are_no_success():
+    server = CuttingServer()
+    client = PlatformClient(server)
+    client.send()
+    server.sock.sendall(ANSWERS["length"].wire(b"other") + b"XX")
+    assert client.result().response is None
+    client.close()
