Keep trailer fields apart from the headers

Callers saw: the fields behind a chunked body counted as headers. A trailer could sign an answer, say that it had not run, or name a coding, and a request's trailer could carry its key; and the result depended on the segments, since an answer whose head is read alone is judged without them.

Cause: the parser reports trailer fields like headers.

Evidence: 6 cases of tests/test_cut_answers.py (test_trailer_...) were red before.

Trailers are counted towards the limit of the head and dropped, as RFC 9110, section 6.5.1 allows.

--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -96,9 +96,11 @@
         self.url += data
 
     def on_header(self, name, value):
-        """Append a header field."""
+        """Append a header field; trailer fields are dropped."""
         self._has_progressed = True
         self._count_header_bytes(len(name) + len(value))
+        if self.has_headers:
+            return
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def _count_header_bytes(self, size):
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -13,7 +13,7 @@
 from monsoonmill.errors import ProtocolError
 from monsoonmill.http1.client import BackendPool
 from monsoonmill.http1.messages import ConnectionLimits
-from monsoonmill.http1.parsing import ResponseReader
+from monsoonmill.http1.parsing import RequestReader, ResponseReader
 from monsoonmill.model import Address, HttpRequest
 from monsoonmill.platform.backend import PlatformBackendProtocol
 
@@ -299,3 +299,42 @@
     server.sock.sendall(ANSWERS["length"].wire(b"other") + b"XX")
     assert client.result().response is None
     client.close()
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"X-Monsoonmill-Not-Executed: full",
+        b"Monsoon-Outcome: not-run",
+        b"Content-Encoding: gzip",
+        b"X-Other: 1",
+    ],
+)
+def test_trailer_fields_are_not_taken_as_headers(client, line):
+    client.send()
+    rest = b"c\r\nhello world!\r\n0\r\n" + line + b"\r\n\r\n"
+    client.server.sock.sendall(START % b"a" + CHUNKED + rest)
+    finished = client.result()
+    assert finished.response.body == BODY
+    assert not finished.not_run
+    names = [name.lower() for name, _ in finished.response.headers]
+    assert line.split(b":")[0].decode().lower() not in names
+
+
+def test_trailer_field_signs_no_answer():
+    reader = ResponseReader(2048, 4096)
+    head = b"HTTP/1.1 200 OK\r\n" + CHUNKED
+    reader.feed(head + b"1\r\na\r\n0\r\n" + SIGNATURE + b"\r\n")
+    ((resp, _),) = reader.responses
+    assert [name for name, _ in resp.headers] == ["Transfer-Encoding"]
+
+
+def test_trailer_fields_of_a_request_are_not_taken_as_headers():
+    reader = RequestReader(2048, 4096)
+    reader.feed(
+        b"POST /x HTTP/1.1\r\nHost: a\r\n"
+        + CHUNKED
+        + b"1\r\na\r\n0\r\nAuthorization: Bearer k\r\n\r\n"
+    )
+    ((req, _),) = reader.requests
+    assert [name for name, _ in req.headers] == ["Host", "Transfer-Encoding"]
