Refuse a response with two ids or two signatures

Callers saw: where a backend server broke off in a head and went on with another response, a success with the first one's id and the second one's body.

Cause: the cut line and the next status line form one header line, so that both heads are one whole head. Of a header that occurs twice the first value counted.

Evidence: both cases of test_head_that_breaks_off_before_another_answer_is_no_success, which cuts the first head at every byte, were red before.

A head with two values of either header is no answer.

--- a/src/monsoonmill/platform/backend.py
+++ b/src/monsoonmill/platform/backend.py
@@ -19,6 +19,7 @@
 LOWER_ATTEMPT_ID = ATTEMPT_ID.lower()
 LOWER_NOT_EXECUTED = NOT_EXECUTED.lower()
 LOWER_SIGNATURE = SIGNATURE.lower()
+SINGLE_HEADERS = frozenset((LOWER_ATTEMPT_ID, LOWER_SIGNATURE))
 
 
 class PlatformBackendProtocol(BackendProtocol):
@@ -41,6 +42,8 @@
         A backend server echoes the request's id, which identifies a late response to
         an earlier request; only a refusal may lack it.
         """
+        if _has_conflicting_headers(resp):
+            return ResponseKind.INVALID
         headers = index_headers(resp.headers)
         response_id = headers.get(LOWER_ATTEMPT_ID, "")
         is_refusal = resp.status == MISDIRECTED_STATUS or LOWER_NOT_EXECUTED in headers
@@ -66,3 +69,17 @@
             if name.lower() == "timeout" and seconds.isascii() and seconds.isdigit():
                 return float(seconds)
         return None
+
+
+def _has_conflicting_headers(resp):
+    """Return whether a header that occurs once in each response has two values.
+
+    A head that breaks off in a header and the head of the next response on the
+    connection form a single head, whose body belongs to the second response.
+    """
+    values: dict[str, str] = {}
+    for name, value in resp.headers:
+        key = name.lower()
+        if key in SINGLE_HEADERS and values.setdefault(key, value) != value:
+            return True
+    return False
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -84,6 +84,7 @@
 
     def __init__(self):
         self.listener = create_server((HOST, 0))
+        self.listener.settimeout(3.0)
         self.address = Address(*self.listener.getsockname())
         self.sock = None
 
@@ -338,3 +339,24 @@
     )
     ((req, _),) = reader.requests
     assert [name for name, _ in req.headers] == ["Host", "Transfer-Encoding"]
+
+
+@pytest.mark.parametrize("second_id", [b"a", b"other"])
+def test_head_that_breaks_off_before_another_answer_is_no_success(second_id):
+    server = CuttingServer()
+    head = ANSWERS["length"].head(b"a")
+    second = START.replace(b"3e1b", b"77aa") % second_id
+    second += b"Content-Length: 5\r\n\r\nother"
+    for size in range(1, len(head)):
+        client = PlatformClient(server)
+        client.send()
+        server.sock.sendall(head[:size] + second)
+        server.close()
+        resp = client.result().response
+        # An answer of its own, if what came before it is no part of a head.
+        assert resp is None or (second_id == b"a" and is_answer_alone(resp))
+        client.close()
+
+
+def is_answer_alone(resp):
+    return resp.body == b"other" and resp.headers[1][1] == "77aa.c9"
