Complete a response to HEAD with its head

Callers saw: a HEAD request whose answer states a length or chunks waited for a body that doesn't come, and failed at its deadline or with the connection; one without a length came with 'Content-Length: 0', which isn't the length of the backend server's answer.

Cause: the parser of responses doesn't know the request's method, and the encoder set the length from the body, which is empty.

Evidence: the cases head-length and head-chunks of test_whole_answer_is_a_success and test_response_to_head_states_no_length_that_is_not_known were red before.

The reader is told the method. The parser can't skip the body, so the connection is closed after the response. No length is written where it is not known.

--- a/src/monsoonmill/http1/client.py
+++ b/src/monsoonmill/http1/client.py
@@ -114,6 +114,7 @@
 
     def send_request(self, arg):
         """Append the encoded request to the send buffer."""
+        self._reader.expect_response(self.call.request.method)
         self._send_buffer += self._pool.protocol.encode(self.call)
 
     def report_response(self, finished: RunFinished):
--- a/src/monsoonmill/http1/messages.py
+++ b/src/monsoonmill/http1/messages.py
@@ -42,11 +42,12 @@
     Parameters
     ----------
     method : str
-        Method of the request; a response to HEAD is sent without its body.
+        Method of the request; a response to HEAD is sent without its body, and
+        without a length if the body is not known.
     """
     lines = [f"HTTP/1.1 {resp.status} {REASON_PHRASES.get(resp.status, 'Unknown')}"]
     lines.extend(f"{name}: {value}" for name, value in resp.headers)
-    if resp.status not in BODILESS:
+    if resp.status not in BODILESS and (resp.body or method != "HEAD"):
         lines.append(f"Content-Length: {len(resp.body)}")
     if not keeps_alive:
         lines.append("Connection: close")
--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -182,16 +182,31 @@
         super().__init__(max_header_bytes, max_body_bytes)
         self.responses: deque[tuple[HttpResponse, bool]] = deque()
         self._parser = HttpResponseParser(self)
+        self._is_bodiless = False
+
+    def expect_response(self, method: str) -> None:
+        """Set the method of the pending request; a response to HEAD has no body."""
+        self._is_bodiless = method == "HEAD"
 
     def release(self) -> None:
         """Drop the complete responses too."""
         super().release()
         self.responses.clear()
 
+    def on_headers_complete(self):
+        """Append the response if it has no body, whatever length it states.
+
+        The parser does not know the method, so that its connection is not kept.
+        """
+        super().on_headers_complete()
+        if self._is_bodiless and self._parser.get_status_code() >= 200:
+            self._append(False)
+            self.is_idle = True
+
     def on_message_complete(self):
         """Append the response, unless it is an interim (1xx) response."""
         self._has_progressed = True
-        if self._parser.get_status_code() >= 200:
+        if not self.is_idle and self._parser.get_status_code() >= 200:
             self._append(self._parser.should_keep_alive())
         self.is_idle = True
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -12,9 +12,9 @@
 from monsoonmill.decisions.calls.signals import RunCall
 from monsoonmill.errors import ProtocolError
 from monsoonmill.http1.client import BackendPool
-from monsoonmill.http1.messages import ConnectionLimits
+from monsoonmill.http1.messages import ConnectionLimits, encode_response
 from monsoonmill.http1.parsing import RequestReader, ResponseReader
-from monsoonmill.model import Address, HttpRequest
+from monsoonmill.model import Address, HttpRequest, HttpResponse
 from monsoonmill.platform.backend import PlatformBackendProtocol
 
 HOST = "127.0.0.1"
@@ -76,6 +76,9 @@
         + START
         + b"Content-Length: 12\r\n\r\n"
     ),
+    "head-length": Answer(START + b"Content-Length: 12\r\n\r\n", b"", b"", "HEAD"),
+    "head-chunks": Answer(START + CHUNKED, b"", b"", "HEAD"),
+    "head-no-length": Answer(START + b"\r\n", b"", b"", "HEAD"),
 }
 
 
@@ -172,7 +175,7 @@
             client.send(b"first")
             client.server.sock.sendall(ANSWERS["length"].wire(b"first"))
             assert client.result().response.body == BODY
-        client.send()
+        client.send(method=answer.method)
         client.server.sock.sendall(wire[:size])
         client.server.close(resets)
         check_cut(client.result(), answer, size, head_size, resets)
@@ -181,7 +184,7 @@
 @pytest.mark.parametrize("name", ANSWERS)
 def test_whole_answer_is_a_success(client, name):
     answer = ANSWERS[name]
-    client.send()
+    client.send(method=answer.method)
     client.server.sock.sendall(answer.wire(b"a"))
     client.server.close()
     assert client.result().response.body == answer.body
@@ -194,7 +197,7 @@
     answer = ANSWERS[name]
     wire, head_size = answer.wire(b"a"), len(answer.head(b"a"))
     for size in range(len(wire)):
-        client.send()
+        client.send(method=answer.method)
         server.sock.sendall(ANSWERS["chunks"].wire(b"other") + wire[:size])
         server.close()
         check_cut(client.result(), answer, size, head_size, False)
@@ -207,6 +210,7 @@
     wire, head_size = answer.wire(b"a"), len(answer.head(b"a"))
     for size in range(len(wire)):
         reader = ResponseReader(2048, 4096)
+        reader.expect_response(answer.method)
         for position in range(size):
             reader.feed(wire[position : position + 1])
         assert not reader.responses
@@ -269,7 +273,7 @@
 )
 def test_whole_answer_with_bytes_behind_it_is_a_success(client, name, extra):
     answer = ANSWERS[name]
-    client.send()
+    client.send(method=answer.method)
     client.server.sock.sendall(answer.wire(b"a") + extra)
     assert client.result().response.body == answer.body
     assert client.server.sock.recv(100) == b""
@@ -360,3 +364,9 @@
 
 def is_answer_alone(resp):
     return resp.body == b"other" and resp.headers[1][1] == "77aa.c9"
+
+
+def test_response_to_head_states_no_length_that_is_not_known():
+    resp = HttpResponse(200, (("X-Other", "1"),))
+    assert b"Content-Length" not in encode_response(resp, "HEAD", True)
+    assert b"Content-Length: 0" in encode_response(resp, "GET", True)
