Read answers on the own interface with the parser of the engine

Callers saw: a backend server that broke off in the head of its answer and closed gave them a 200 with an empty or short body, framed as whole. So did malformed, contradicting and folded lengths, a line without a colon, and transfer codings other than chunked. A 1xx answer other than 100 was passed on as the answer, and the answer itself went to the next request on the connection.

Cause: http.client takes the end of the stream for the end of the head, ignores lengths and lines that it can't read, and then reads to the end of the connection. It takes any status but 100 for the final one.

Evidence: tests/test_cut_answers.py runs on both interfaces now.

The workers write requests with encode_request and read with ResponseReader, which knows a whole head from a cut one. A connection is used again only if nothing followed the answer. Control characters in a request, which http.client refused with an exception that ended the worker, are replaced.

--- a/src/monsoonmill/node/egress.py
+++ b/src/monsoonmill/node/egress.py
@@ -1,17 +1,17 @@
 """Requests to the local backend server; each worker task owns one connection."""
 
 from collections.abc import Callable
-from http.client import HTTPException
+from re import compile as compile_pattern
 from selectors import EVENT_READ, DefaultSelector
-from socket import socket
+from socket import IPPROTO_TCP, TCP_NODELAY, create_connection, socket
 
 from attrs import frozen
-from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from monsoonmill.clock import Clock
 from monsoonmill.decisions.calls.signals import RunCall, RunFailure, RunFinished
-from monsoonmill.errors import MonsoonError
+from monsoonmill.errors import MonsoonError, ProtocolError
+from monsoonmill.http1.messages import encode_request
+from monsoonmill.http1.parsing import ResponseReader
 from monsoonmill.model import Address, HttpResponse
 from monsoonmill.node.headers import OUTCOME, end_to_end_headers, forwarded_headers
 from monsoonmill.node.waker import Waker
@@ -22,10 +22,17 @@
 SERVER_ERROR = 500
 CONNECT_TIMEOUT_S = 1.0
 MIN_TIMEOUT_S = 0.001
+READ_BYTES = 1 << 16
+CONTROL_CHARACTERS = compile_pattern("[\0-\x08\x0a-\x1f\x7f]")
+"""Characters that could end a line of a request's head; a tab cannot."""
 MAX_IDLE_S = 10.0
 """A connection that has been idle for longer is replaced before its next use."""
 
 
+def _percent_encode(match):
+    return f"%{ord(match[0]):02X}"
+
+
 class RunError(MonsoonError):
     """A request to the backend server failed in a known way."""
 
@@ -75,12 +82,12 @@
         self._cfg = cfg
         self._clock = clock
         self._report_idle = report_idle
-        self._conn: HTTPConnection | None = None
+        self._sock: socket | None = None
+        self._reader: ResponseReader | None = None
         self._address: Address | None = None
         self._last_used_at = 0.0
         self._waker = Waker()
         self._abort_requests = Inbox()
-        self._registered_socket: socket | None = None
         self._selector = DefaultSelector()
         self._selector.register(self._waker.reader, EVENT_READ)
 
@@ -114,53 +121,73 @@
         deadline = self._clock.now() + call.timeout_s
         self._connect(call)
         self._send(call)
-        self._await_response(call.attempt, deadline)
-        return self._read_response(call, deadline)
+        return self._receive_response(call, deadline)
 
     def _connect(self, call):
         idle_s = self._clock.now() - self._last_used_at
         is_reusable = self._address == call.address and idle_s < MAX_IDLE_S
-        if self._conn is not None and is_reusable and self._conn.is_connected:
+        if self._sock is not None and is_reusable and not self._has_input():
             return
         self._disconnect()
         self._address = call.address
-        self._conn = HTTPConnection(
-            call.address.host,
-            call.address.port,
-            timeout=min(CONNECT_TIMEOUT_S, call.timeout_s),
-        )
+        address = (call.address.host, call.address.port)
+        timeout_s = min(CONNECT_TIMEOUT_S, call.timeout_s)
         try:
-            self._conn.connect()
-        except (HTTPError, OSError) as exc:
+            self._sock = create_connection(address, timeout_s)
+        except OSError as exc:
             raise RunError(RunFailure.NOT_SENT) from exc
-        self._registered_socket = self._conn.sock
-        self._selector.register(self._registered_socket, EVENT_READ)
+        self._sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        cfg = self._cfg
+        self._reader = ResponseReader(cfg.max_header_bytes, cfg.max_body_bytes)
+        self._selector.register(self._sock, EVENT_READ)
+
+    def _has_input(self):
+        """Return whether the idle connection has unexpected bytes or was closed."""
+        return self._sock in {key.fileobj for key, _ in self._selector.select(0)}
 
     def _send(self, call):
-        req = call.request
-        timeout_ms = str(max(int(call.timeout_s * 1000), 1))
-        headers = dict(forwarded_headers(req.headers))
-        headers["Monsoon-Context"] = call.context
-        headers["Monsoon-Timeout-Ms"] = timeout_ms
-        body = req.body or None
-        if body is None and req.method in ("POST", "PUT", "PATCH"):
-            headers["Content-Length"] = "0"
-        self._conn.sock.settimeout(call.timeout_s)
+        data = self._encode(call)
+        self._reader.expect_response(call.request.method)
+        self._sock.settimeout(call.timeout_s)
         try:
-            self._conn.request(
-                req.method, req.path, body, headers, preload_content=False
-            )
-        except (HTTPError, OSError) as exc:
+            self._sock.sendall(data)
+        except OSError as exc:
             raise RunError(RunFailure.CONNECTION_LOST) from exc
 
-    def _await_response(self, attempt, deadline):
-        sock = self._conn.sock
+    def _encode(self, call):
+        req = call.request
+        headers = {
+            "Host": f"{call.address.host}:{call.address.port}",
+            "Accept-Encoding": "identity",
+            **dict(forwarded_headers(req.headers)),
+            "Monsoon-Context": call.context,
+            "Monsoon-Timeout-Ms": str(max(int(call.timeout_s * 1000), 1)),
+        }
+        lines = (
+            (name, CONTROL_CHARACTERS.sub(" ", value))
+            for name, value in headers.items()
+        )
+        path = CONTROL_CHARACTERS.sub(_percent_encode, req.path)
+        return encode_request(req.method, path, lines, req.body)
+
+    def _receive_response(self, call, deadline):
+        while not self._reader.responses:
+            self._await_input(call.attempt, deadline)
+            self._read()
+        resp, keeps_alive = self._reader.responses.popleft()
+        self._last_used_at = self._clock.now()
+        if not keeps_alive or not self._reader.is_idle or self._reader.responses:
+            self._disconnect()
+        headers = tuple(end_to_end_headers(resp.headers))
+        return HttpResponse(resp.status, headers, resp.body)
+
+    def _await_input(self, attempt, deadline):
         while (remaining_s := deadline - self._clock.now()) > 0:
             ready = {key.fileobj for key, _ in self._selector.select(remaining_s)}
             if self._waker.reader in ready and self._is_abort_requested(attempt):
                 raise RunError(RunFailure.ABORTED)
-            if sock in ready:
-                sock.settimeout(max(remaining_s, MIN_TIMEOUT_S))
+            if self._sock in ready:
+                self._sock.settimeout(max(remaining_s, MIN_TIMEOUT_S))
                 return
         raise RunError(RunFailure.TIMED_OUT)
 
@@ -169,41 +196,34 @@
         aborted_attempts = iter(lambda: self._abort_requests.take(0), None)
         return attempt in set(aborted_attempts)
 
-    def _read_response(self, call, deadline):
+    def _read(self):
         try:
-            response = self._conn.getresponse()
-        except TimeoutError as exc:
-            raise RunError(RunFailure.TIMED_OUT) from exc
+            data = self._sock.recv(READ_BYTES)
         except OSError as exc:
-            raise RunError(RunFailure.CONNECTION_LOST) from exc
-        except (HTTPError, HTTPException) as exc:
-            raise RunError(RunFailure.BROKEN_ANSWER) from exc
-        body = self._read_body(response)
-        self._last_used_at = self._clock.now()
-        headers = tuple(end_to_end_headers(response.headers.items()))
-        if response.headers.get("connection", "").lower() == "close":
-            self._disconnect()
-        return HttpResponse(response.status, headers, body)
-
-    def _read_body(self, response):
-        limit = self._cfg.max_body_bytes
+            raise RunError(self._loss()) from exc
+        if not data:
+            if not self._reader.feed_eof():
+                raise RunError(self._loss())
+            return
         try:
-            body = response.read(limit + 1)
-        except ReadTimeoutError as exc:
-            raise RunError(RunFailure.TIMED_OUT) from exc
-        except (HTTPError, HTTPException, OSError) as exc:
-            raise RunError(RunFailure.BROKEN_ANSWER) from exc
-        if len(body) > limit:
-            raise RunError(RunFailure.BROKEN_ANSWER)
-        return body
+            self._reader.feed(data)
+        except ProtocolError as exc:
+            # A response that was complete before the invalid bytes is not affected.
+            if not self._reader.responses:
+                raise RunError(RunFailure.BROKEN_ANSWER) from exc
+            self._reader.is_idle = False
+
+    def _loss(self):
+        """Return the failure if the connection ends before the response does."""
+        is_unused = self._reader.is_idle
+        return RunFailure.CONNECTION_LOST if is_unused else RunFailure.BROKEN_ANSWER
 
     def _disconnect(self):
-        if self._registered_socket is not None:
-            self._selector.unregister(self._registered_socket)
-            self._registered_socket = None
-        if self._conn is not None:
-            self._conn.close()
-            self._conn = None
+        if self._sock is not None:
+            self._selector.unregister(self._sock)
+            self._sock.close()
+            self._sock = None
+            self._reader.release()
 
 
 class RunPool:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -9,13 +9,17 @@
 import pytest
 from attrs import frozen
 
+from monsoonmill.clock import SystemClock
 from monsoonmill.decisions.calls.signals import RunCall
 from monsoonmill.errors import ProtocolError
 from monsoonmill.http1.client import BackendPool
 from monsoonmill.http1.messages import ConnectionLimits, encode_response
 from monsoonmill.http1.parsing import RequestReader, ResponseReader
 from monsoonmill.model import Address, HttpRequest, HttpResponse
+from monsoonmill.node.egress import RunPool
 from monsoonmill.platform.backend import PlatformBackendProtocol
+from monsoonmill.settings import Settings
+from monsoonmill.task import Inbox
 
 HOST = "127.0.0.1"
 LIMITS = ConnectionLimits(2048, 4096, 60.0, 10.0)
@@ -147,7 +151,34 @@
         self.selector.close()
 
 
-@pytest.fixture(params=[PlatformClient])
+class OwnInterfaceClient:
+    """Sends requests over the connections of the product's own interface."""
+
+    def __init__(self, server):
+        self.server = server
+        self._inbox = Inbox()
+        self._pool = RunPool(
+            Settings.from_dict({}).http, SystemClock(), self._inbox.post
+        )
+        self._attempts = count()
+
+    def send(self, request_id=b"a", method="GET"):
+        attempt = str(next(self._attempts))
+        req = HttpRequest(method, "/x", ())
+        self._pool.run(RunCall(attempt, self.server.address, req, 3.0, "token"))
+        self.server.read_request()
+
+    def result(self):
+        worker_idle = self._inbox.take(5.0)
+        self._pool.on_worker_idle(worker_idle)
+        return worker_idle.finished
+
+    def close(self):
+        for worker in self._pool._idle_workers:
+            worker.stop()
+
+
+@pytest.fixture(params=[PlatformClient, OwnInterfaceClient])
 def client(request):
     server = CuttingServer()
     client = request.param(server)
--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -115,3 +115,24 @@
     with running_server([COMPLETE]) as address:
         pool.run(RunCall("second", address, HttpRequest("GET", "/"), 5.0, "t"))
         assert inbox.take(5).finished.response.body == b"ok"
+
+
+def test_control_characters_end_no_line_of_a_request():
+    received = Inbox()
+    with create_server(("127.0.0.1", 0)) as listener:
+
+        def serve():
+            conn, _ = listener.accept()
+            with conn:
+                received.post(conn.recv(65536))
+                conn.sendall(COMPLETE)
+
+        Thread(target=serve, daemon=True).start()
+        inbox = Inbox()
+        pool = RunPool(Settings.from_dict({}).http, SystemClock(), inbox.post)
+        req = HttpRequest("GET", "/a\rb", (("X-A", "1\r\nX-B: 2"),))
+        pool.run(RunCall("1", Address(*listener.getsockname()), req, 5.0, "token"))
+        assert inbox.take(5).finished.response.body == b"ok"
+    lines = received.take(5).split(b"\r\n")
+    assert lines[0] == b"GET /a%0Db HTTP/1.1"
+    assert b"X-A: 1  X-B: 2" in lines
