Disturb backend servers and clients in the runs of the deployments

Nodes are stopped in turn, again soon after a start, and while requests are long. Clients keep idle connections for long, leave early, read slowly, or go elsewhere after two misses of the readiness check.

New checks: DRAIN (a request reaches a server later than drain_timeout after its leaving was acknowledged), UNASKED (method, path, body, caller service, tenant and key as sent), MIXED for bodies, for bytes after an answer and for signed statuses, and LOST for a node's own answer in place of one at which a server works, and for calls of backend servers. Each is shown to find its violation in test_checks.py.

--- a/tests/deployment/run.py
+++ b/tests/deployment/run.py
@@ -5,7 +5,6 @@
 from random import Random
 from tempfile import mkdtemp
 from threading import Event, Thread
-from time import monotonic
 
 from attrs import define
 
@@ -15,6 +14,7 @@
     crossed,
     find_violations,
 )
+from tests.deployment.clients import CLOCK
 from tests.deployment.disruptions import Stage
 from tests.deployment.fleet import DeploymentFleet
 from tests.deployment.schedule import make_schedule
@@ -69,9 +69,20 @@
         _play(stage, seed, length_s)
         unready = _await_ready(fleet)
         fleet.stop_clients()
-        runs = Counter(request.request_id for request in fleet.runs())
-    seen = Observations(site, fleet.exchanges, runs, fleet.ends, stage.spans, unready)
+    seen = Observations(
+        site,
+        fleet.exchanges,
+        fleet.runs(),
+        fleet.ends,
+        stage.spans,
+        unready,
+        fleet.leaves,
+        {call.request_id: call for _, app in fleet.apps for call in app.calls.values()},
+        fleet.call_exchanges(),
+        fleet.services,
+    )
     ends = Counter(f"{exchange.end} {exchange.status}" for exchange in fleet.exchanges)
+    ends["calls"] = len(seen.calls)
     return Result(
         seed,
         directory,
@@ -84,15 +95,17 @@
 
 def _await_served(fleet):
     """Wait until a request to each route is answered."""
-    deadline = monotonic() + START_TIMEOUT_S
+    deadline = CLOCK.now() + START_TIMEOUT_S
     for route in fleet.site.routes:
+        if route.is_called:
+            continue
         while fleet.hosts[0].call(f"{route.prefix}first", key="secret").status != 200:
-            assert monotonic() < deadline, f"{route.prefix} is not served"
+            assert CLOCK.now() < deadline, f"{route.prefix} is not served"
 
 
 def _play(stage, seed, length_s):
     """Run the scheduled disruptions, each in a thread of its own."""
-    started_at = monotonic()
+    started_at = CLOCK.now()
     threads = []
     for scheduled in make_schedule(seed, length_s):
         _watch(stage, started_at + scheduled.at_s)
@@ -109,17 +122,17 @@
 def _watch(stage, until):
     """Wait until a time, and look for processes that end by themselves."""
     pace = Event()
-    while (left_s := until - monotonic()) > 0:
+    while (left_s := until - CLOCK.now()) > 0:
         pace.wait(min(left_s, OWN_END_CHECK_S))
         stage.fleet.collect_own_ends(stage.busy)
 
 
 def _await_ready(fleet):
     """Return the machines whose nodes are not ready some time after all is over."""
-    deadline = monotonic() + SETTLE_S
+    deadline = CLOCK.now() + SETTLE_S
     unready = set(range(len(fleet.hosts)))
     pace = Event()
-    while unready and monotonic() < deadline:
+    while unready and CLOCK.now() < deadline:
         fleet.collect_own_ends(frozenset())
         unready -= {number for number in unready if fleet.hosts[number].is_ready()}
         pace.wait(OWN_END_CHECK_S)
--- a/tests/deployment/sites.py
+++ b/tests/deployment/sites.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from monsoonmill.standin.platform_nested import CallPlan
 from tests.platform_fleet import rule
 
 
@@ -17,6 +18,8 @@
         Share of the clients' requests.
     body_bytes : int
         Size of a request's body.
+    work_s : float
+        Service time in seconds; 0 for that of the service.
     """
 
     prefix: str
@@ -26,6 +29,7 @@
     timeout_ms: int
     deadline_ms: int
     body_bytes: int = 0
+    work_s: float = 0.0
 
     @property
     def is_repeatable(self) -> bool:
@@ -34,8 +38,18 @@
 
     def rule(self) -> dict:
         """Return the route as operators write it."""
-        timeout = f"{self.timeout_ms}ms"
-        return rule(self.prefix, self.service, kind=self.kind, timeout=timeout)
+        return rule(
+            self.prefix,
+            self.service,
+            kind=self.kind,
+            timeout=f"{self.timeout_ms}ms",
+            public=self.is_called,
+        )
+
+    @property
+    def is_called(self) -> bool:
+        """Whether only backend servers send requests on it."""
+        return not self.weight
 
 
 @frozen
@@ -50,6 +64,10 @@
         Number of machines of each service; they are spread over the data centres.
     work_s : dict
         Service time of each service in seconds.
+    filler_bytes : dict
+        Size of the answers of some services.
+    calls : tuple of CallPlan
+        Calls that backend servers make while they execute requests.
     """
 
     name: str
@@ -57,6 +75,12 @@
     machines: dict[str, int]
     work_s: dict[str, float]
     routes: tuple[Route, ...] = field(factory=tuple)
+    filler_bytes: dict[str, int] = field(factory=dict)
+    calls: tuple[CallPlan, ...] = ()
+
+    def work_by_prefix(self) -> dict[str, float]:
+        """Return the service times of the routes that have one of their own."""
+        return {route.prefix: route.work_s for route in self.routes if route.work_s}
 
     def services(self) -> tuple[str, ...]:
         """Return the service of each machine."""
@@ -80,6 +104,16 @@
         Route("/pledges/", "pledges", "non_idempotent", 3.0, 5000, 5000, 4000),
         Route("/packs/", "carepacks", "download", 1.0, 2500, 2500),
         Route("/status/", "applications", "idempotent", 1.5, 8000, 8000),
+        Route("/ledger/", "pledges", "idempotent", 0.0, 2500, 2500, work_s=0.015),
+        Route("/index/", "carepacks", "idempotent", 0.0, 2000, 2000, work_s=0.015),
+        Route("/history/", "applications", "idempotent", 0.0, 700, 700, work_s=0.04),
+    ),
+    {"carepacks": 60_000},
+    (
+        CallPlan("/profiles/", "/ledger/", 2.5, 0.25),
+        CallPlan("/pledges/", "/index/", 2.0),
+        CallPlan("/ledger/", "/index/", 2.0),
+        CallPlan("/index/", "/history/", 0.7, 0.5),
     ),
 )
 SEGNALI_CT = Site(
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -177,11 +177,12 @@
             Thread(target=self._send_heartbeats, daemon=True),
         ]
 
-    def _listen(self, ip, port, app):
-        server = WebServer(Address(ip, port), app, LIMITS)
+    def _listen(self, ip, port, app, server_class=WebServer):
+        server = server_class(Address(ip, port), app, LIMITS)
         server.open(self._selector, self.clock.now())
         assert server.is_listening
         self._servers.append((server, app))
+        return server
 
     def _make_host(self, number, service, zones):
         port_names = (
