Check kept connections and repeats in the runs of the deployments

LOST also at any time: a machine in touch closes more than three kept connections whose request a server has run. BUDGET: a service gets more repeats in ten seconds than a fifth of its requests and 50. Both are shown to find their violation in test_checks.py.

--- a/tests/deployment/checks.py
+++ b/tests/deployment/checks.py
@@ -26,6 +26,10 @@
 ARRIVAL_S = 0.1
 """Time in which a request that was sent on reaches a backend server."""
 BROKEN_OFF_S = 0.1
+MOST_CLOSED = 3
+RETRY_WINDOW_S = 10.0
+RETRY_RATIO = 0.2
+RETRY_SLACK = 50
 FIRST_REQUESTS = "first"
 """End of the paths that are asked before the clients start."""
 
@@ -80,10 +84,12 @@
     yield from _check_processes(seen)
     yield from _check_answers(seen)
     yield from _check_lost(seen)
+    yield from _check_kept(seen)
     yield from _check_broken_off(seen)
     yield from _check_requests(seen)
     yield from _check_leaves(seen)
     yield from _check_bodies(seen)
+    yield from _check_repeats(seen)
 
 
 def _check_processes(seen):
@@ -152,6 +158,50 @@
             )
 
 
+def _check_kept(seen):
+    """Find machines in touch that close kept connections whose request has run."""
+    closed = [
+        exchange
+        for exchange in (*seen.exchanges, *seen.call_exchanges)
+        if exchange.end in ("closed", "reset", "cut")
+        and exchange.earlier
+        and seen.runs[exchange.request_id]
+        and not _was_disturbed(seen, exchange.machine, exchange.ended_at)
+    ]
+    if len(closed) > MOST_CLOSED:
+        yield Violation("LOST", f"{len(closed)} on kept connections, as {closed[0]}")
+
+
+def _check_repeats(seen):
+    """Find services that get too many repeated requests in a time."""
+    services = {route.prefix: route.service for route in seen.site.routes}
+    sent = {service: [] for service in seen.site.machines}
+    for exchange in (*seen.exchanges, *seen.call_exchanges):
+        sent[services[exchange.prefix]].append(exchange.sent_at)
+    repeats = {service: [] for service in seen.site.machines}
+    known = set()
+    for run in sorted(seen.executions, key=lambda run: run.started_at):
+        if run.request_id in known:
+            repeats[run.service].append(run.started_at)
+        known.add(run.request_id)
+    for service, times in repeats.items():
+        for end in times:
+            count = _count_in_window(times, end)
+            requests = max(
+                _count_in_window(sent[service], end - RETRY_WINDOW_S * back)
+                for back in (0.0, 0.5, 1.0)
+            )
+            if count > RETRY_RATIO * requests + RETRY_SLACK:
+                yield Violation(
+                    "BUDGET", f"{service}: {count} repeats, {requests} requests"
+                )
+                break
+
+
+def _count_in_window(times, end):
+    return sum(end - RETRY_WINDOW_S < time <= end for time in times)
+
+
 def _check_broken_off(seen):
     """Yield the requests that a stop ended with an answer of the node's own."""
     last_end = {}
--- a/tests/deployment/test_checks.py
+++ b/tests/deployment/test_checks.py
@@ -142,3 +142,29 @@
     closed = evolve(EXCHANGE, end="closed", status=0, is_signed=False, answer_id="")
     assert rules([closed], spans=[STOP]) == {"LOST"}
     assert rules([evolve(closed, end="left")], spans=[STOP]) == set()
+
+
+def test_closed_kept_connections_are_found_after_the_third():
+    unanswered = evolve(EXCHANGE, end="closed", status=0, answer_id="", is_signed=False)
+    closed = [
+        evolve(unanswered, request_id=f"c0-3-1-{number}", earlier=1)
+        for number in range(4)
+    ]
+    runs = [
+        evolve(
+            RUN,
+            request_id=exchange.request_id,
+            path=f"/pledges/{number}",
+            body=request_body(exchange.request_id, 4000),
+        )
+        for number, exchange in enumerate(closed)
+    ]
+    assert rules(closed, runs) == {"LOST"}
+    assert rules(closed[:3], runs[:3]) == set()
+
+
+def test_too_many_repeats_are_found():
+    again = evolve(EXCHANGE, prefix="/status/")
+    run = evolve(RUN, path="/status/7", method="GET", body=b"", service="applications")
+    assert rules([again], [run] * 51) == set()
+    assert rules([again], [run] * 52) == {"BUDGET"}
