--- a/tests/deployment/fleet.py
+++ b/tests/deployment/fleet.py
@@ -292,7 +292,7 @@
         """Return the requests run by all backend servers, or by those of a service."""
         return [
             run
-            for app in self.apps
+            for _, app in self.apps
             if service in (None, app.service)
             for run in app.runs
         ]
