--- a/tests/deployment/checks.py
+++ b/tests/deployment/checks.py
@@ -240,6 +240,9 @@
     for run in seen.executions:
         if run.path.endswith(FIRST_REQUESTS):
             continue
+        prefix = run.path[: run.path.rindex("/") + 1]
+        if prefix in routes and run.service != routes[prefix].service:
+            yield Violation("ROUTE", f"{_named(run)}: {run.path}")
         call = seen.calls.get(run.request_id)
         exchange = exchanges.get(run.request_id)
         if call is not None:
--- a/tests/deployment/test_checks.py
+++ b/tests/deployment/test_checks.py
@@ -89,11 +89,16 @@
     assert rules(executions=[RUN, evolve(RUN, request_id="other")]) == {"UNASKED"}
 
 
+def test_request_run_by_another_service_is_found():
+    assert rules(executions=[evolve(RUN, service="profiles")]) == {"ROUTE"}
+
+
 def test_nested_call_with_a_tenant_is_found():
     run = evolve(
         change(RUN, **{"x-monsoonmill-caller-service": "pledges"}),
         request_id=CALL.request_id,
         path=CALL.path,
+        service="carepacks",
         method="GET",
         body=b"",
     )
