--- a/src/monsoonmill/standin/platform_nested.py
+++ b/src/monsoonmill/standin/platform_nested.py
@@ -17,6 +17,8 @@
 
 HEADER_PREFIX = "X-Monsoonmill-"
 SUCCESS = 200
+ANSWER_MARGIN_S = 1.0
+"""Time after a call's deadline for which a caller still waits."""
 
 
 @frozen
@@ -128,7 +130,7 @@
             HEADER_PREFIX + "Attempt-Id": call.request_id,
             HEADER_PREFIX + "Request-Deadline": str(int(call.remaining_s * 1000)),
         }
-        timeout = Timeout(total=call.remaining_s)
+        timeout = Timeout(total=call.remaining_s + ANSWER_MARGIN_S)
         resp = self._pool.urlopen("GET", call.path, headers=headers, timeout=timeout)
         if resp.status != SUCCESS:
             return resp.status, True
