--- a/tests/deployment/fleet.py
+++ b/tests/deployment/fleet.py
@@ -104,6 +104,8 @@
         For each machine, the services of its backend server and since when.
     """
 
+    backend_app_class = PlatformBackendApp
+
     def __init__(self, directory, site: Site, seed: int):
         self.site = site
         self.seed = seed
@@ -153,7 +155,7 @@
             NESTED_CALLERS if self.site.calls else 0,
         )
         nested.start()
-        app = PlatformBackendApp(instance, service, self.clock, nested)
+        app = self.backend_app_class(instance, service, self.clock, nested)
         app.behaviour.work_s = self.site.work_s[service]
         app.behaviour.work_by_prefix = self.site.work_by_prefix()
         app.behaviour.filler_bytes = self.site.filler_bytes.get(service, 0)
--- a/tests/deployment/run.py
+++ b/tests/deployment/run.py
@@ -17,7 +17,7 @@
 from tests.deployment.clients import CLOCK
 from tests.deployment.disruptions import Stage
 from tests.deployment.fleet import DeploymentFleet
-from tests.deployment.schedule import make_schedule
+from tests.deployment.schedule import Scheduled, make_schedule
 from tests.deployment.sites import Site
 
 LENGTH_S = 30.0
@@ -64,10 +64,10 @@
     with fleet:
         fleet.put_config(fleet.routes_config(3))
         fleet.start()
-        _await_served(fleet)
+        await_served(fleet)
         fleet.start_clients(CLIENTS_PER_MACHINE, MEAN_GAP_S)
-        _play(stage, seed, length_s)
-        unready = _await_ready(fleet)
+        play(stage, make_schedule(seed, length_s), length_s)
+        unready = await_ready(fleet)
         fleet.stop_clients()
     seen = Observations(
         site,
@@ -93,7 +93,7 @@
     )
 
 
-def _await_served(fleet):
+def await_served(fleet: DeploymentFleet) -> None:
     """Wait until a request to each route is answered."""
     deadline = CLOCK.now() + START_TIMEOUT_S
     for route in fleet.site.routes:
@@ -103,11 +103,11 @@
             assert CLOCK.now() < deadline, f"{route.prefix} is not served"
 
 
-def _play(stage, seed, length_s):
+def play(stage: Stage, schedule: list[Scheduled], length_s: float) -> None:
     """Run the scheduled disruptions, each in a thread of its own."""
     started_at = CLOCK.now()
     threads = []
-    for scheduled in make_schedule(seed, length_s):
+    for scheduled in schedule:
         _watch(stage, started_at + scheduled.at_s)
         thread = Thread(target=scheduled.disruption.run, args=(stage,))
         thread.start()
@@ -127,7 +127,7 @@
         stage.fleet.collect_own_ends(stage.busy)
 
 
-def _await_ready(fleet):
+def await_ready(fleet: DeploymentFleet) -> tuple[int, ...]:
     """Return the machines whose nodes are not ready some time after all is over."""
     deadline = CLOCK.now() + SETTLE_S
     unready = set(range(len(fleet.hosts)))
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -157,6 +157,8 @@
 class PlatformFleet:
     """Runs the stand-ins in one thread and sends the backend servers' heartbeats."""
 
+    node_program = "monsoonmill.platform.program"
+
     def __init__(self, directory, services=("profiles",) * 2, zones=("z1", "z2")):
         self.directory = directory
         self.clock = SystemClock()
@@ -275,7 +277,7 @@
         """Start a node process."""
         log = open(self.directory / f"{host.name}.log", "ab")
         host.process = Popen(
-            [executable, "-m", "monsoonmill.platform.program"],
+            [executable, "-m", self.node_program],
             env={**environ, "MONSOONMILL_NODE_FILE": host.node_file},
             stdout=log,
             stderr=log,
