--- a/tests/deployment/checks.py
+++ b/tests/deployment/checks.py
@@ -92,6 +92,12 @@
     yield from _check_repeats(seen)
 
 
+def find_answer_violations(seen: Observations) -> Iterator[Violation]:
+    """Yield the broken rules about answers, whatever the requests looked like."""
+    yield from _check_answers(seen)
+    yield from _check_lost(seen)
+
+
 def _check_processes(seen):
     for end in seen.ends:
         if end.requested_at is None:
--- a/tests/deployment/fleet.py
+++ b/tests/deployment/fleet.py
@@ -46,6 +46,8 @@
 quota_window = "5s"
 """
 GRACE_PERIOD_S = 6.0
+START_TIMEOUT_S = 30.0
+"""All node processes of a site start at once on one machine."""
 SLOTS = 64
 CLIENT_PROCESSES = 4
 KEY = "secret"
@@ -105,6 +107,7 @@
     """
 
     backend_app_class = PlatformBackendApp
+    start_timeout_s = START_TIMEOUT_S
 
     def __init__(self, directory, site: Site, seed: int):
         self.site = site
