Count calls at leaving nodes against the rates of organisations

A node that leaves accepts calls until the fleet has learned of it, up to 2.3 s. The others dropped its reports from the moment at which they learned that it leaves, so what it spent was never charged, and sent it no reports, so it knew nothing of what they spent. Now leaving nodes exchange reports like the others and still have no part in the division of the tokens.

Counting leaving nodes as spenders was tried and left: it changes the size of the fleet that test_leaving_nodes_are_not_counted checks.

--- a/src/monsoonmill/decisions/quota/groups.py
+++ b/src/monsoonmill/decisions/quota/groups.py
@@ -33,6 +33,9 @@
         Other nodes that are not believed to be gone.
     alive_group_members : tuple of Member
         Nodes of this group that are neither suspected nor leaving.
+    leaving_nodes : frozenset of str
+        Names of the leaving nodes of this group. They exchange reports, since they
+        accept calls until the fleet has learned that they leave.
     """
 
     local_member: Member
@@ -41,6 +44,7 @@
     relays: dict[str, tuple[str, ...]] = field(factory=dict)
     remote_nodes: tuple[str, ...] = ()
     alive_group_members: tuple[Member, ...] = ()
+    leaving_nodes: frozenset[str] = frozenset()
     _pool_holders: dict[str, str] = field(factory=dict)
 
     @classmethod
@@ -76,6 +80,11 @@
             tuple(
                 member for member in local_group if member.state is MemberState.ALIVE
             ),
+            frozenset(
+                member.node
+                for member in members.members()
+                if not may_spend(member) and group in (WHOLE_FLEET, member.data_centre)
+            ),
         )
 
     @property
@@ -88,6 +97,11 @@
         """Nodes of this node's group."""
         return self.nodes.get(self.group, frozenset())
 
+    @property
+    def reporting_nodes(self) -> frozenset[str]:
+        """Nodes of this node's group that exchange reports."""
+        return self.local_nodes | self.leaving_nodes
+
     def group_of(self, node: str) -> str | None:
         """Return the group of a node; None if it is not known."""
         return next((name for name, names in self.nodes.items() if node in names), None)
@@ -129,7 +143,7 @@
 
 
 def may_spend(member: Member) -> bool:
-    """Return whether a node may spend tokens; a leaving one accepts no calls."""
+    """Return whether a node has a part of the tokens; a leaving one has none."""
     return member.state is not MemberState.LEAVING
 
 
--- a/src/monsoonmill/decisions/quota/report_exchange.py
+++ b/src/monsoonmill/decisions/quota/report_exchange.py
@@ -103,7 +103,7 @@
     def update_members(self) -> None:
         """Rebuild the groups after a change of the membership."""
         self.groups = ReportGroups.from_members(self._members, self._cfg.most_ungrouped)
-        for source in [key for key in self._reported if not self._expected_nodes(key)]:
+        for source in [key for key in self._reported if not self._is_known(key)]:
             del self._reported[source]
 
     def set_scarce(self, is_scarce: bool, now: float) -> None:
@@ -241,7 +241,7 @@
     # Groups.
     def _source(self, node, scope):
         """Return whose spending a report covers; None if it is of no use here."""
-        is_local = node in self.groups.local_nodes
+        is_local = node in self.groups.reporting_nodes
         if scope is ReportScope.NODE:
             return ReportSource(scope, node) if is_local else None
         if scope is ReportScope.OTHERS:
@@ -249,6 +249,11 @@
         group = self.groups.group_of(node)
         return None if is_local or group is None else ReportSource(scope, group)
 
+    def _is_known(self, source):
+        """Return whether a source is a node or group of the fleet."""
+        is_leaving = source.name in self.groups.leaving_nodes
+        return is_leaving or self._expected_nodes(source) > 0
+
     def _expected_nodes(self, source):
         """Return how many nodes of a source may spend."""
         groups = self.groups
@@ -286,7 +291,9 @@
         for name, tokens in report.lately.items():
             self._local_totals.add(name, tokens)
         group_nodes = [
-            node for node in self.groups.remote_nodes if node in self.groups.local_nodes
+            node
+            for node in self.groups.remote_nodes
+            if node in self.groups.reporting_nodes
         ]
         for node in group_nodes:
             yield Send(node, report)
--- a/tests/test_quota_replicated.py
+++ b/tests/test_quota_replicated.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from monsoonmill.decisions.members.signals import SelfLeaving
 from monsoonmill.decisions.quota.signals import TokenReturned
 from tests.quota_fleet import QuotaFleet
 
@@ -15,6 +16,9 @@
 """Excess over rate and burst that users accept in any window."""
 LATENCY_S = 0.03
 RAMP_MS = 2000
+LEAVING_COUNT = 8
+SETTLE_S = 2.3
+"""Time for which a leaving node still accepts calls."""
 SETTINGS = {"report_ms": 250, "contact_ms": 600}
 LOCATIONS = [
     ("north", "north-1"),
@@ -248,6 +252,18 @@
     assert fleet.max_in_window() <= window_limit()
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_calls_at_leaving_nodes_count_at_all_nodes(seed, window_ms):
+    fleet, nodes = make_fleet(seed=seed, window_ms=window_ms)
+    fleet.drive(6, 0.5 * RATE, random_node(fleet, nodes))
+    fleet.granted_at.clear()
+    for node in nodes[:LEAVING_COUNT]:
+        fleet.inject(node, SelfLeaving())
+    fleet.drive(SETTLE_S, 3 * RATE, random_node(fleet, nodes))
+    fleet.drive(WINDOW_S, 3 * RATE, random_node(fleet, nodes[LEAVING_COUNT:]))
+    assert fleet.max_in_window() <= window_limit()
+
+
 def test_lowered_rate_is_enforced_after_a_window(window_ms):
     fleet, nodes = make_fleet(window_ms=window_ms)
     fleet.drive(4, 2 * RATE, random_node(fleet, nodes))
