Send the answers that are owed before a rejection

Cause: an error of the parser rejected the connection at once, before complete requests were taken from the reader, and a pending one had no way to be answered first.

The connection keeps the rejection until what it owes is written, takes no more input and holds no body but those of pending requests.

--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -64,8 +64,8 @@
                 raise HttpMessageTooLargeError(error.part, error.limit_bytes) from None
             raise InvalidHttpMessageError(str(exc)) from exc
 
-    def release(self) -> None:
-        """Drop the parser and what was received, since the connection is closed.
+    def stop(self) -> None:
+        """Drop the parser and the message that is being received.
 
         The parser and the reader refer to each other. Only the garbage collector
         would free them, and it runs by the number of objects, not by their size.
@@ -74,6 +74,10 @@
         self.headers = []
         self.body = bytearray()
 
+    def release(self) -> None:
+        """Drop all that was received, since the connection is closed."""
+        self.stop()
+
     def take_body(self) -> bytes:
         """Return the body of a complete message and release its buffer."""
         body = bytes(self.body)
--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -77,6 +77,7 @@
         self._send_buffer = bytearray()
         self._mask = EVENT_READ
         self._req: HttpRequest | None = None
+        self._rejection: HttpResponse | None = None
         self._allows_keep_alive = True
         self._is_serving = False
         self._now = now
@@ -102,6 +103,8 @@
         Closing a socket with unread input resets the connection, and the caller may
         lose the response.
         """
+        if self._rejection is not None:
+            return True
         return self._server.is_draining or not self.reader.is_idle
 
     def has_read_all_input(self, arg):
@@ -174,15 +177,18 @@
     def reject(self, status: int, detail: str, headers=()) -> None:
         """Send an error response to an invalid request and close the connection.
 
-        While an earlier request is pending, its response would have to come first, so
-        the connection is closed without an error response.
+        The responses to earlier requests are sent first. Further input is discarded.
         """
-        if self.chart.state != "reading":
-            self.abort()
+        self._rejection = HttpResponse(status, headers, detail.encode())
+        self.reader.stop()
+        self._server.budget.record(self, self._body_size())
+        self._send_rejection()
+
+    def _send_rejection(self):
+        """Send the error response unless earlier requests are pending."""
+        if self.chart.state != "reading" or self.reader.requests:
             return
-        self._send_buffer += encode_response(
-            HttpResponse(status, headers, detail.encode()), "GET", False
-        )
+        self._send_buffer += encode_response(self._rejection, "GET", False)
         self.chart.send("request_rejected")
         self._flush()
 
@@ -220,7 +226,8 @@
         if not data:
             self.chart.send("disconnected")
             return
-        if self.chart.state in ("flushing", "lingering"):
+        is_ending = self.chart.state in ("flushing", "lingering")
+        if is_ending or self._rejection is not None:
             return
         if self.request_started_at is None:
             self.request_started_at = now
@@ -244,16 +251,17 @@
 
         A request that is still being received has not run.
         """
-        size = len(self.reader.body)
-        size += sum(len(req.body) for req, _ in self.reader.requests)
-        if self._req is not None:
-            size += len(self._req.body)
-        largest = self._server.budget.record(self, size)
+        largest = self._server.budget.record(self, self._body_size())
         if largest is not None and not self.reader.is_idle:
             log.warning("body_budget_exceeded", total=self._server.budget.total_bytes)
             retry_after = (("Retry-After", BODY_BUDGET_RETRY_S),)
             self.reject(BODY_BUDGET_STATUS, "out of memory for bodies\n", retry_after)
 
+    def _body_size(self):
+        size = len(self.reader.body)
+        size += sum(len(req.body) for req, _ in self.reader.requests)
+        return size if self._req is None else size + len(self._req.body)
+
     def _send_continue(self):
         if self.reader.header("expect").lower() == "100-continue":
             if not self.reader.body and self.chart.state == "reading":
@@ -272,6 +280,8 @@
                 yield from self._server.serve(self, self.call, self._req, now)
         finally:
             self._is_serving = False
+        if self._rejection is not None:
+            self._send_rejection()
 
     def _flush(self):
         while self._send_buffer:
