Answer requests that ask for an upgrade

Callers saw: a request with 'Connection: upgrade' or with the method CONNECT was never answered; its connection was closed.

Cause: the parser reports the end of such a message with an exception of its own, which is no parse error, and which ended the connection as unexpected. It also skips the body of such a request.

The upgrade is ignored and the bytes behind the message are parsed. With a body the request gets a 400, and has not run. A response 101, which no request asks for, is invalid.

--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -2,11 +2,18 @@
 
 from collections import deque
 
-from httptools import HttpParserError, HttpRequestParser, HttpResponseParser
+from httptools import (
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpRequestParser,
+    HttpResponseParser,
+)
 
 from monsoonmill.errors import HttpMessageTooLargeError, InvalidHttpMessageError
 from monsoonmill.model import HttpRequest, HttpResponse
 
+SWITCHING_PROTOCOLS = 101
+
 
 class MessageReader:
     """Accumulates a message from the callbacks of an httptools parser.
@@ -53,8 +60,17 @@
                 raise HttpMessageTooLargeError("headers", self.max_header_bytes)
 
     def _parse(self, data):
+        # An upgrade is ignored, as RFC 9110, section 7.8 allows; the parser stops
+        # behind the message that asks for it.
+        while data:
+            data = self._parse_to_upgrade(data)
+
+    def _parse_to_upgrade(self, data):
+        """Parse received bytes; return those behind a request for an upgrade."""
         try:
             self._parser.feed_data(data)
+        except HttpParserUpgrade as exc:
+            return data[exc.args[0] :]
         except HttpParserError as exc:
             # httptools wraps an error that a callback raises; the original is its
             # context. It is not raised again: the two errors would refer to each
@@ -63,6 +79,7 @@
             if isinstance(error, HttpMessageTooLargeError):
                 raise HttpMessageTooLargeError(error.part, error.limit_bytes) from None
             raise InvalidHttpMessageError(str(exc)) from exc
+        return b""
 
     def stop(self) -> None:
         """Drop the parser and the message that is being received.
@@ -160,6 +177,13 @@
         super().release()
         self.requests.clear()
 
+    def on_headers_complete(self):
+        """Refuse a request for an upgrade that has a body, which the parser skips."""
+        super().on_headers_complete()
+        has_body = self.header("transfer-encoding") or self.header("content-length")
+        if self._parser.should_upgrade() and has_body not in ("", "0"):
+            raise InvalidHttpMessageError("request for an upgrade with a body")
+
     def on_message_complete(self):
         """Append the request."""
         self._has_progressed = True
@@ -203,6 +227,8 @@
         The parser does not know the method, so that its connection is not kept.
         """
         super().on_headers_complete()
+        if self._parser.get_status_code() == SWITCHING_PROTOCOLS:
+            raise InvalidHttpMessageError("upgrade that was not requested")
         if self._is_bodiless and self._parser.get_status_code() >= 200:
             self._append(False)
             self.is_idle = True
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -442,6 +442,31 @@
     assert budget.total_bytes == 0
 
 
+UPGRADE = b"GET /now HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n"
+
+
+@pytest.mark.parametrize(
+    "data", [(UPGRADE + b"\r\n") * 2 + NOW, (UPGRADE + b"\r\n") * 300]
+)
+def test_request_for_an_upgrade_is_answered_like_any_other(callers, data):
+    count = data.count(b"HTTP/1.1")
+    received = exchange(callers, data, count)
+    assert received.count(b"HTTP/1.1 200") == count
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 3\r\n\r\nabc",
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    ],
+)
+def test_request_for_an_upgrade_with_a_body_does_not_run_without_it(callers, rest):
+    data = UPGRADE.replace(b"/now", b"/later") + rest
+    assert exchange(callers, data).split()[1] == b"400"
+    assert not callers.signals
+
+
 def has_rejection(loop):
     return any(conn._rejection is not None for conn in loop.component._conns)
 
@@ -520,6 +545,10 @@
         (SIGNED % b"a" + b"Content-Length: 9\r\n\r\nok", RunFailure.BROKEN_ANSWER),
         (SIGNED % b"a" + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab", "broken"),
         (b"SSH-2.0-thing\r\n\r\n", RunFailure.BROKEN_ANSWER),
+        (
+            b"HTTP/1.1 101 Switch\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n",
+            RunFailure.BROKEN_ANSWER,
+        ),
         (OK % b"a" + b"Content-Length: 0\r\n\r\n", RunFailure.BROKEN_ANSWER),
         (b"", RunFailure.CONNECTION_LOST),
     ],
