--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -4,6 +4,7 @@
 from selectors import DefaultSelector
 from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY, create_server
 from struct import pack
+from threading import Timer
 from time import monotonic
 
 import pytest
@@ -401,3 +402,14 @@
     resp = HttpResponse(200, (("X-Other", "1"),))
     assert b"Content-Length" not in encode_response(resp, "HEAD", True)
     assert b"Content-Length: 0" in encode_response(resp, "GET", True)
+
+
+def test_interim_response_is_not_taken_as_the_answer(client):
+    client.send(b"a")
+    sock = client.server.sock
+    sock.sendall(b"HTTP/1.1 103 Early\r\nLink: </x>\r\n\r\n")
+    timer = Timer(0.2, sock.sendall, (ANSWERS["length"].wire(b"a"),))
+    timer.start()
+    resp = client.result().response
+    timer.join()
+    assert (resp.status, resp.body) == (200, BODY)
