--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -113,3 +113,11 @@
     with running_server(max_body_bytes=1024) as (server, counters):
         assert b" 413 " in exchange(server, head)
     assert counters.value("too-large") == 1
+
+
+def test_answer_before_a_malformed_request_in_the_same_segment_is_sent():
+    with running_server() as (server, _):
+        first = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+        received = exchange(server, first + b"garbage garbage\r\n\r\n")
+    resps = received.split(b"HTTP/1.1 ")[1:]
+    assert [resp[:3] for resp in resps] == [b"200", b"400"]
