Tell the platform that a node which operators drain is not ready

POST /drain on the operators' port left the readiness check at 200, so that the platform went on sending clients to a node that refused them. Readiness follows the drain now. The wait for an unusable node file is a wait for the next signal in place of a sleep.

Evidence: test_node_that_operators_drain_is_not_ready, red before, green after.

--- a/src/monsoonmill/decisions/lifecycle/draining.py
+++ b/src/monsoonmill/decisions/lifecycle/draining.py
@@ -104,6 +104,11 @@
         self._timers.cancel(DRAIN_TIMEOUT)
         self._outgoing.append(Drained())
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether a drain was requested."""
+        return self._chart.state != "serving"
+
     def status(self):
         """Return the state of the drain."""
         return {"state": self._chart.state}
--- a/src/monsoonmill/platform/node.py
+++ b/src/monsoonmill/platform/node.py
@@ -5,7 +5,7 @@
 import sys
 from secrets import token_hex
 from signal import SIGHUP
-from time import monotonic, sleep
+from time import monotonic
 
 from monsoonmill.clock import SystemClock
 from monsoonmill.codec_msgpack import MsgpackCodec
@@ -119,7 +119,8 @@
     def is_ready(self) -> bool:
         """Return whether the node accepts calls."""
         has_config = self.core.view.config.revision > 0
-        return has_config and self.task.ready.is_set() and not self._is_stopping
+        is_leaving = self._is_stopping or self.core.draining.is_draining
+        return has_config and self.task.ready.is_set() and not is_leaving
 
     def run(self) -> int:
         """Serve until SIGTERM or SIGINT, drain, and return the exit status.
@@ -183,7 +184,7 @@
             if not has_failed:
                 log.warning("node_file_unusable", error=str(exc))
             has_failed = True
-        sleep(NODE_FILE_RETRY_S)
+        inbox.wait(NODE_FILE_RETRY_S)
     return None
 
 
--- a/src/monsoonmill/process.py
+++ b/src/monsoonmill/process.py
@@ -58,6 +58,10 @@
                 break
         return self._messages.popleft() if self._messages else None
 
+    def wait(self, timeout_s: float) -> None:
+        """Wait until another signal or message arrives, or for the timeout."""
+        select((self._reader,), (), (), timeout_s)
+
     def has_stop_signal(self) -> bool:
         """Return whether a signal to stop was received and not taken yet."""
         self._receive()
--- a/tests/integration/test_platform_stop.py
+++ b/tests/integration/test_platform_stop.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 import pytest
+from urllib3 import HTTPConnectionPool
 
 from monsoonmill.codec_msgpack import MsgpackCodec
 from monsoonmill.messages import PEER_MESSAGES, Hello, Ping
@@ -18,6 +19,7 @@
 CLIENTS = 20
 MEAN_GAP_S = 0.02
 PING_INTERVAL_S = 0.3
+OPERATORS_PORT = 9464
 
 
 class MutePeer:
@@ -101,3 +103,15 @@
 # A stopping node closed kept connections under their clients, or left them unserved.
 def test_request_on_a_kept_connection_is_answered_until_a_stop_ends_it(stopped):
     assert {seen.end for seen in stopped if seen.earlier} == {"answer"}
+
+
+# A node that operators drain went on telling the platform to send it clients.
+def test_node_that_operators_drain_is_not_ready(tmp_path):
+    with PlatformFleet(tmp_path, ("profiles",)) as fleet:
+        rules = (rule("/look/", "profiles"),)
+        fleet.put_config(configuration(3, rules, ("profiles",), [tenant()]))
+        fleet.start()
+        host = fleet.hosts[0]
+        operators = HTTPConnectionPool(host.ip, OPERATORS_PORT, timeout=1.0)
+        assert operators.urlopen("POST", "/drain").status == 202
+        wait_until(lambda: not host.is_ready(), 1.0)
