--- a/tests/deployment/test_deployment.py
+++ b/tests/deployment/test_deployment.py
@@ -17,6 +17,7 @@
         (SEGNALI_CT, 1),
         (KALAPUWA_MESH, 2),
         (SEGNALI_CT, 2),
+        (KALAPUWA_MESH, 32),  # starts with a taken port or a signal failed for good
     ],
 )
 def test_run_of_a_deployment_breaks_no_rule(site, seed):
