Excuse an end by SIGHUP within a second of a start in the deployments

Its log shows that it was started, ended and started again between 3352.10 and 3354.35; RollingStop starts a node and releases it, and SettingsChange sends SIGHUP at once, before the interpreter runs. Any later end and any other status still breaks the rule; a test shows both.

--- a/tests/deployment/checks.py
+++ b/tests/deployment/checks.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from math import inf
-from signal import SIGTERM
+from signal import SIGHUP, SIGTERM
 
 from attrs import field, frozen
 
@@ -14,6 +14,7 @@
 from tests.deployment.fleet import GRACE_PERIOD_S, TENANT, Leave, ProcessEnd
 from tests.deployment.sites import Site
 
+START_EXCUSE_S = 1.0
 CONTACT_S = 4.0
 LOSS_SLACK_S = 0.2
 EXIT_SLACK_S = 1.0
@@ -100,6 +101,8 @@
 
 def _check_processes(seen):
     for end in seen.ends:
+        if _is_within_start(end):
+            continue
         if end.requested_at is None:
             yield Violation(
                 "FAULT", f"machine {end.machine} ended by itself with {end.status}"
@@ -116,6 +119,16 @@
         yield Violation("FAULT", f"machine {machine} doesn't become ready")
 
 
+def _is_within_start(end):
+    """Return whether a signal ended a process that had just been started.
+
+    An end within a second of a disruption on its machine, as a start is, doesn't count
+    as one of the process's own. Until the interpreter runs, signals have their default
+    action.
+    """
+    return end.status == -SIGHUP and end.ended_at - end.launched_at < START_EXCUSE_S
+
+
 def _expected_statuses(end):
     """Return the exit statuses after a SIGTERM.
 
--- a/tests/deployment/test_checks.py
+++ b/tests/deployment/test_checks.py
@@ -1,5 +1,8 @@
 """The checks of a run find the violations in what clients and servers saw."""
 
+from signal import SIGHUP
+
+import pytest
 from attrs import evolve
 
 from monsoonmill.standin.platform_backend import RecordedRequest
@@ -7,7 +10,7 @@
 from tests.deployment.checks import Observations, find_violations
 from tests.deployment.clients import Exchange, request_body
 from tests.deployment.disruptions import Span
-from tests.deployment.fleet import TENANT, Leave
+from tests.deployment.fleet import TENANT, Leave, ProcessEnd
 from tests.deployment.sites import KALAPUWA_MESH
 
 STOP = Span("stop", 100.0, 105.0, frozenset({3}), True)
@@ -173,3 +176,13 @@
     run = evolve(RUN, path="/status/7", method="GET", body=b"", service="applications")
     assert rules([again], [run] * 51) == set()
     assert rules([again], [run] * 52) == {"BUDGET"}
+
+
+@pytest.mark.parametrize(
+    ("status", "age_s", "expected"),
+    [(-SIGHUP, 0.3, set()), (-SIGHUP, 1.2, {"FAULT"}), (1, 0.3, {"FAULT"})],
+)
+def test_only_a_signal_in_the_first_second_excuses_an_end(status, age_s, expected):
+    end = ProcessEnd(0, status, 100.0, 100.0 + age_s)
+    seen = Observations(KALAPUWA_MESH, [], [], [end], [], ())
+    assert {violation.rule for violation in find_violations(seen)} == expected
