Don't take a process that a disruption ends for one that ends by itself

The runs of the deployments looked which machines a disruption holds before they looked which processes have ended. A disruption that began in between could have its process recorded, started again and lost, or end the run with an error, so could a process that ended while its memory was read.

--- a/tests/deployment/disruptions.py
+++ b/tests/deployment/disruptions.py
@@ -72,11 +72,10 @@
             self._busy.update(chosen)
             return chosen
 
-    @property
-    def busy(self) -> frozenset[int]:
-        """Machines that a disruption of processes holds."""
+    def is_busy(self, number: int) -> bool:
+        """Return whether a disruption of processes holds a machine."""
         with self._lock:
-            return frozenset(self._busy)
+            return number in self._busy
 
     def release(self, number: int) -> None:
         """Make a machine available for other disruptions."""
--- a/tests/deployment/fleet.py
+++ b/tests/deployment/fleet.py
@@ -1,5 +1,6 @@
 """A deployment of the users: real node processes, stand-ins and clients' processes."""
 
+from collections.abc import Callable
 from json import dumps, loads
 from pathlib import Path
 from random import Random
@@ -24,7 +25,6 @@
     FleetHost,
     PlatformFleet,
     configuration,
-    peak_memory_mb,
     tenant,
 )
 
@@ -58,6 +58,16 @@
 """Time for which a backend server that leaves asks for an acknowledgement."""
 
 
+def _peak_memory_mb(pid):
+    """Return the peak resident memory of a process; 0 if it is ending."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    except OSError:
+        return 0.0
+    lines = (line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(next(lines, "VmHWM: 0 kB").split()[1]) / 1024
+
+
 @define
 class ProcessEnd:
     """The end of a node process.
@@ -369,19 +379,26 @@
         )
         host.process = None
 
-    def collect_own_ends(self, busy: frozenset[int]) -> None:
+    def collect_own_ends(self, is_busy: Callable[[int], bool]) -> None:
         """Record the processes that have ended by themselves, and start them again.
 
         Parameters
         ----------
-        busy : frozenset of int
-            Machines to leave out, since a disruption starts and ends their processes.
+        is_busy : callable
+            Returns whether a machine is left out, since a disruption starts and ends
+            its processes. It is asked after a process was seen to have ended, which a
+            disruption that began meanwhile may have done.
         """
         for number, host in enumerate(self.hosts):
-            if number in busy or host.process is None:
+            process = host.process
+            if process is None:
+                continue
+            has_ended = process.poll() is not None
+            if is_busy(number):
                 continue
-            if host.process.poll() is None:
-                self.peak_memory_mb = max(self.peak_memory_mb, peak_memory_mb(host))
+            if not has_ended:
+                memory_mb = _peak_memory_mb(process.pid)
+                self.peak_memory_mb = max(self.peak_memory_mb, memory_mb)
                 continue
             self._record_end(number, False)
             self.launch(host)
--- a/tests/deployment/run.py
+++ b/tests/deployment/run.py
@@ -128,7 +128,7 @@
     for thread in threads:
         while thread.is_alive():
             thread.join(OWN_END_CHECK_S)
-            stage.fleet.collect_own_ends(stage.busy)
+            stage.fleet.collect_own_ends(stage.is_busy)
 
 
 def _watch(stage, until):
@@ -136,7 +136,7 @@
     pace = Event()
     while (left_s := until - CLOCK.now()) > 0:
         pace.wait(min(left_s, OWN_END_CHECK_S))
-        stage.fleet.collect_own_ends(stage.busy)
+        stage.fleet.collect_own_ends(stage.is_busy)
 
 
 def await_ready(fleet: DeploymentFleet) -> tuple[int, ...]:
@@ -145,7 +145,7 @@
     unready = set(range(len(fleet.hosts)))
     pace = Event()
     while unready and CLOCK.now() < deadline:
-        fleet.collect_own_ends(frozenset())
+        fleet.collect_own_ends(lambda number: False)
         unready -= {number for number in unready if fleet.hosts[number].is_ready()}
         pace.wait(OWN_END_CHECK_S)
     return tuple(sorted(unready))
