Add objectives, allowed regions and cold limits to the configuration's types

The fields are read from the operators' configuration and travel with it; nothing acts on them yet. Load and Forward get the fields that admission of whole chains and routing by measured pace will use, appended with defaults.

--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -120,6 +120,11 @@
         Ratio of executions here that lose a nested call to overload.
     unanswered : float
         Ratio of recent executions here whose response was lost or invalid.
+    threshold : int
+        Lowest standing of calls for which there is capacity here and at the
+        services that they call; 0 for all.
+    latency_ms : float
+        Mean time of recent executions here; 0 if it is not known.
     """
 
     running: int = 0
@@ -129,6 +134,8 @@
     work: float = 1.0
     strain: float = 0.0
     unanswered: float = 0.0
+    threshold: int = 0
+    latency_ms: float = 0.0
 
 
 @frozen
@@ -157,6 +164,8 @@
         Name (not secret) of the caller's API key; empty if there is none.
     request_id : str
         Request id given by the caller; empty if there is none.
+    rank : int
+        Rank of the call's chain among those of the same importance.
     """
 
     attempt: str
@@ -172,6 +181,7 @@
     fingerprint: int
     key: str = ""
     request_id: str = ""
+    rank: int = 0
 
 
 @frozen
--- a/src/monsoonmill/model.py
+++ b/src/monsoonmill/model.py
@@ -8,6 +8,10 @@
 
 OPEN_ORGANISATION = "(open)"
 """Organisation to which calls without a key on open routes are attributed."""
+MIXED_OBJECTIVES_RATIO = 4
+"""Ratio of the longest to the shortest objective from which callers in a hurry are
+told apart from callers that can wait: the latter can then wait in a queue for as long
+as the former have in all, and still have most of their time left."""
 
 
 @frozen(order=True)
@@ -33,12 +37,15 @@
         Calls that may be made at once after a period without any.
     importance : Importance or None
         Overrides the importance of the called routes, if given.
+    allowed_regions : tuple of str
+        Regions in which its calls may be served; empty for all.
     """
 
     name: str
     rate: float
     burst: float
     importance: Importance | None = None
+    allowed_regions: tuple[str, ...] = ()
 
 
 @frozen
@@ -58,10 +65,16 @@
     ----------
     timeout_ms : int
         Default time limit of a call.
+    cold_start_ms : int
+        Time for which a backend server is cold after its start; 0 for none.
+    cold_per_s : float
+        Requests per second that a cold backend server can handle; 0 for no limit.
     """
 
     name: str
     timeout_ms: int = 10_000
+    cold_start_ms: int = 0
+    cold_per_s: float = 0.0
 
 
 @frozen
@@ -86,6 +99,10 @@
         Maximum time until the response; 0 for the caller's own limit.
     max_attempts : int
         Maximum number of backend servers to try; 0 for the node's limit.
+    aim_ms : int
+        Time within which a response has its full value; 0 for no objective.
+    allowed_regions : tuple of str
+        Regions in which calls may be served; empty for all.
     path : str
         Path prefix, matched at slashes; the longest match wins.
     methods : tuple of str
@@ -114,6 +131,8 @@
     shares: tuple[ServiceShare, ...] = ()
     timeout_ms: int = 0
     max_attempts: int = 0
+    aim_ms: int = 0
+    allowed_regions: tuple[str, ...] = ()
 
 
 @frozen
@@ -155,6 +174,13 @@
     entry_revisions: dict[str, int] = field(factory=dict)
     withdrawn_keys: dict[str, WithdrawnKey] = field(factory=dict)
 
+    @property
+    def has_mixed_objectives(self) -> bool:
+        """Whether the objectives of routes that need a key differ widely."""
+        aims = [route.aim_ms for route in self.routes.values() if not route.open]
+        aims = [aim for aim in aims if aim]
+        return bool(aims) and max(aims) >= MIXED_OBJECTIVES_RATIO * min(aims)
+
 
 @unique
 class MemberState(Enum):
--- a/src/monsoonmill/platform/config_codec.py
+++ b/src/monsoonmill/platform/config_codec.py
@@ -104,7 +104,11 @@
 
 
 def _build_service(doc):
-    return Service(doc.require("name", Name))
+    return Service(
+        doc.require("name", Name),
+        cold_start_ms=_parse_duration_ms(doc, "cold_start"),
+        cold_per_s=doc.get("cold_per_s", Rate | None, None, None) or 0.0,
+    )
 
 
 def _build_tenant(doc):
@@ -119,7 +123,8 @@
     priority = doc.get("priority", int | None, None, LOWEST_PRIORITY)
     importance = None if priority is None else importance_of(priority)
     secrets = doc.get_items("api_keys", Name)
-    return Organisation(name, rate, burst, importance), tuple(
+    regions = _parse_regions(doc)
+    return Organisation(name, rate, burst, importance, regions), tuple(
         Key(_name_key(secret), name, digest_key(secret)) for secret in secrets
     )
 
@@ -162,8 +167,10 @@
         open=is_public,
         virtual_host=virtual_host,
         shares=shares,
-        timeout_ms=_parse_timeout_ms(action),
+        timeout_ms=_parse_duration_ms(action, "timeout"),
         max_attempts=action.get("max_attempts", Attempts, 0, 1),
+        aim_ms=_parse_duration_ms(rule, "aim"),
+        allowed_regions=_parse_regions(action),
     )
 
 
@@ -175,15 +182,25 @@
     return ServiceShare(doc.require("service", Name), doc.require("weight", Rate))
 
 
-def _parse_timeout_ms(action) -> int:
-    """Return the time limit of a route; 0 for the caller's own limit."""
-    text = action.get("timeout", str | None, None, None)
+def _parse_regions(doc: RawObject) -> tuple[str, ...]:
+    """Return the regions to which an entry is limited; empty for no limit.
+
+    An entry whose list cannot be read is not usable, since it would have no limit.
+    """
+    if not doc.has("allowed_regions"):
+        return ()
+    return tuple(doc.require("allowed_regions", list[Name] | None) or ())
+
+
+def _parse_duration_ms(doc: RawObject, name: str) -> int:
+    """Return a duration of an entry; 0 for none."""
+    text = doc.get(name, str | None, None, None)
     if not text:
         return 0
     try:
         return int(parse_ms(text))
     except MalformedMessageError as exc:
-        log.warning("field_replaced", error=f"{action.label}: {exc}", value="0")
+        log.warning("field_replaced", error=f"{doc.label}: {exc}", value="0")
         return 0
 
 
