Start worker threads of the own interface as requests need them

Cause: cheroot starts all 99 worker threads of the three ports one after the other, and each start waits until the new thread has run. On a busy host that is up to 0.1 s a thread, and the node's task, which joins the fleet and serves its peers, starts only after them.

Ruled out: a port that is taken (it logs a line or ends the process), the wait for readiness (5 s at most).

Now a port starts with 4 threads and gets one more when a request would wait, up to http.crew_threads. The new test failed before (16 of 16 threads at the start).

--- a/src/monsoonmill/node/web.py
+++ b/src/monsoonmill/node/web.py
@@ -23,6 +23,9 @@
 JSON_TYPE = "application/json"
 LISTEN_BACKLOG = 1024
 SHUTDOWN_TIMEOUT_S = 2
+INITIAL_THREADS = 4
+"""Worker threads of a port at its start. Each start of a thread waits until the thread
+has run, up to 0.1 s on a busy host; a hundred of them held up the start of nodes."""
 
 
 @frozen
@@ -186,7 +189,13 @@
 
 
 class AppServer(HTTPServer):
-    """A cheroot server for one application."""
+    """A cheroot server for one application.
+
+    Parameters
+    ----------
+    threads : int
+        Maximum number of worker threads; they are started as requests need them.
+    """
 
     ConnectionClass = CountingConnection
 
@@ -202,7 +211,7 @@
         super().__init__(
             (host, port),
             gateway=AppGateway,
-            minthreads=threads,
+            minthreads=min(threads, INITIAL_THREADS),
             maxthreads=threads,
             server_name="monsoon-node",
         )
@@ -220,6 +229,12 @@
         """Port that the server listens on; valid after ``prepare``."""
         return self.bind_addr[1]
 
+    def process_conn(self, conn):
+        """Pass a connection to a worker thread, and start one if all are in use."""
+        if self.ready and self.requests.qsize >= self.requests.idle:
+            self.requests.grow(1)
+        super().process_conn(conn)
+
     def end_connections(self) -> None:
         """End each connection with its next response; any thread may call this."""
         self.keep_alive_conn_limit = 0
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -2,7 +2,7 @@
 
 from contextlib import contextmanager
 from socket import create_connection
-from threading import Event, Thread
+from threading import Barrier, BrokenBarrierError, Event, Thread
 
 from monsoonmill.counters import Counters
 from monsoonmill.node.headers import OUTCOME
@@ -20,11 +20,25 @@
         return WebResponse(200, (("X-Path", req.uri),), req.body or req.uri.encode())
 
 
+class MeetingApp(App):
+    """Answers a request once a number of them are served at the same time."""
+
+    def __init__(self, size):
+        self._barrier = Barrier(size)
+
+    def respond(self, req, raw_req):
+        try:
+            self._barrier.wait(20)
+        except BrokenBarrierError:
+            return WebResponse(503)
+        return WebResponse(200)
+
+
 @contextmanager
-def running_server(**http):
+def running_server(app=None, threads=2, **http):
     counters = Counters()
     cfg = Settings.from_dict({"http": http}).http
-    server = AppServer("127.0.0.1", 0, EchoApp(), 2, cfg, counters)
+    server = AppServer("127.0.0.1", 0, app or EchoApp(), threads, cfg, counters)
     server.prepare()
     thread = Thread(target=server.serve, daemon=True)
     thread.start()
@@ -73,6 +87,21 @@
         return b"".join(iter(lambda: sock.recv(65536), b""))
 
 
+# A node on a busy host started 99 threads one by one before its own task, and was not
+# ready after 28 s.
+def test_a_port_opens_before_all_its_worker_threads_are_started():
+    size = 16
+    with running_server(MeetingApp(size), threads=size) as (server, _):
+        assert server.requests.idle < size / 2
+        socks = [create_connection(("127.0.0.1", server.port), 30) for _ in range(size)]
+        for sock in socks:
+            sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        answers = [sock.recv(12) for sock in socks]
+        for sock in socks:
+            sock.close()
+    assert answers == [b"HTTP/1.1 200"] * size
+
+
 def test_each_request_on_a_connection_gets_exactly_one_response():
     first = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
     last = b"GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
