End a node that is told to stop during its imports at once

Until a node begins to start there is nothing to drain, so a stop signal now ends the process between two steps of the imports. The lines "started", "stopping" and "ended" tell how long the main thread has waited for a processor (schedstat), so that the next late end shows whether the host was busy or the node waited for something of its own.

--- a/src/monsoonmill/platform/node.py
+++ b/src/monsoonmill/platform/node.py
@@ -29,7 +29,7 @@
 from monsoonmill.platform.readiness import ReadinessApp
 from monsoonmill.platform.settings import NodeFile
 from monsoonmill.platform.store_client import KvClient
-from monsoonmill.process import STOP_SIGNALS, ProcessInbox
+from monsoonmill.process import STOP_SIGNALS, ProcessInbox, run_delay_s
 from monsoonmill.task import TaskFailed
 
 NODE_FILE_VARIABLE = "MONSOONMILL_NODE_FILE"
@@ -130,7 +130,12 @@
         """
         self.task.watch(self._inbox.post)
         self.task.start()
-        log.info("started", node=self.core.node, service=self.node_file.service)
+        log.info(
+            "started",
+            node=self.core.node,
+            service=self.node_file.service,
+            run_delay_s=run_delay_s(),
+        )
         while (message := self._inbox.take()) not in STOP_SIGNALS:
             if message == SIGHUP:
                 self._reload()
@@ -138,7 +143,7 @@
                 log.warning("task_failed", task=message.task, error=message.error)
                 return FAILURE_STATUS
         self._is_stopping = True
-        log.info("stopping", node=self.core.node)
+        log.info("stopping", node=self.core.node, run_delay_s=run_delay_s())
         drain = self.node_file.settings.drain
         # All limits count from the request to stop, since the grace period does.
         drained_by = monotonic() + drain.settle_ms / 1000 + drain.limit_s
@@ -148,7 +153,11 @@
         self.task.stop()
         has_closed = self.task.join(max(closed_by - monotonic(), 0.0))
         log.info(
-            "ended", node=self.core.node, drained=is_drained, sockets_closed=has_closed
+            "ended",
+            node=self.core.node,
+            drained=is_drained,
+            sockets_closed=has_closed,
+            run_delay_s=run_delay_s(),
         )
         return FAILURE_STATUS if self.task.has_failed else 0
 
--- a/src/monsoonmill/platform/program.py
+++ b/src/monsoonmill/platform/program.py
@@ -8,7 +8,8 @@
     replace_closed_streams()
     inbox = ProcessInbox.install()
     # These imports take most of a start, in which signals come too.
-    from monsoonmill.platform.node import serve
+    with inbox.ending_at_once():
+        from monsoonmill.platform.node import serve
 
     exit_process(serve(inbox))
 
--- a/src/monsoonmill/process.py
+++ b/src/monsoonmill/process.py
@@ -6,8 +6,10 @@
 import os
 import sys
 from collections import deque
+from contextlib import contextmanager
 from select import select
 from signal import SIGHUP, SIGINT, SIGTERM, set_wakeup_fd, signal
+from threading import get_native_id
 
 STOP_SIGNALS = frozenset((SIGTERM, SIGINT))
 HANDLED_SIGNALS = (*STOP_SIGNALS, SIGHUP)
@@ -40,6 +42,22 @@
             signal(number, _ignore)
         return inbox
 
+    @contextmanager
+    def ending_at_once(self):
+        """End the process at a stop signal, while there is nothing to drain yet.
+
+        On a busy host the imports of a start can take longer than the grace period.
+        """
+        for number in STOP_SIGNALS:
+            signal(number, _end_before_start)
+        if self.has_stop_signal():
+            _end_before_start(SIGTERM, None)
+        try:
+            yield
+        finally:
+            for number in STOP_SIGNALS:
+                signal(number, _ignore)
+
     def post(self, message: object) -> None:
         """Append a message and wake the main thread; any thread may call this."""
         self._messages.append(message)
@@ -80,6 +98,16 @@
     """Leave a signal to the inbox; one without a handler would end the process."""
 
 
+def _end_before_start(number, frame):
+    """Log that the process was told to stop during its start, and end it."""
+    try:
+        os.write(1, b'{"event": "ended_before_start", "level": "info"}\n')
+    except OSError:
+        # Nobody reads the output any more.
+        pass
+    exit_process(0)
+
+
 def replace_closed_streams() -> None:
     """Open the null device in place of each standard stream that is closed.
 
@@ -111,3 +139,20 @@
             # Nobody reads the output any more.
             pass
     os._exit(status)
+
+
+def run_delay_s() -> float | None:
+    """Return how long the calling thread has waited for a processor since its start.
+
+    Where a process is late, the log tells with it a busy host from a wait of its own.
+
+    Returns
+    -------
+    float or None
+        Seconds, as the kernel counts them (``schedstat``); None where it doesn't.
+    """
+    try:
+        with open(f"/proc/self/task/{get_native_id()}/schedstat", "rb") as file:
+            return round(int(file.read().split()[1]) / 1e9, 3)
+    except (OSError, IndexError, ValueError):
+        return None
