--- a/src/monsoonmill/standin/kv_store.py
+++ b/src/monsoonmill/standin/kv_store.py
@@ -1,11 +1,10 @@
 """Stand-in for the key-value store of the users' platform, for tests only."""
 
 from base64 import b64decode, b64encode
-from itertools import count
 from json import dumps, loads
 from urllib.parse import parse_qs, urlsplit
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from monsoonmill.decisions.calls.signals import Answer
 from monsoonmill.decisions.timers import Timers
@@ -16,6 +15,8 @@
 PATH_PREFIX = "/monsoonmill/kv-"
 PAGE_SIZE = 500
 OPERATOR_PREFIXES = ("op/", "servers/")
+ERA_HEADER = "Store-Era"
+FIRST_LEASE_ID = 77
 
 
 @frozen
@@ -76,12 +77,28 @@
     lost_answers: int = 0
 
 
+@frozen
+class StoreCopy:
+    """Contents of a store at one time, from which it can return."""
+
+    revision: int
+    items: dict[str, Item]
+    history: tuple[Item, ...]
+    compacted: int
+    leases: dict[int, float]
+    ttls: dict[int, float]
+    next_lease_id: int
+
+
 @define(eq=False)
 class KvStore:
     """Keys with revisions, leases and a history of changes.
 
     Attributes
     ----------
+    era : int or None
+        Number of times that the store has returned from a copy; None for a store
+        that doesn't tell its era.
     compacted : int
         Revision up to which the history was removed; watches from before it fail.
     leases : dict
@@ -91,12 +108,13 @@
     """
 
     revision: int = 1
+    era: int | None = 0
     items: dict[str, Item] = field(factory=dict)
     history: list[Item] = field(factory=list)
     compacted: int = 0
     leases: dict[int, float] = field(factory=dict)
     ttls: dict[int, float] = field(factory=dict)
-    _lease_ids: object = field(factory=lambda: count(77))
+    _next_lease_id: int = FIRST_LEASE_ID
 
     def write(self, key: str, value: bytes | None, lease_id: int = 0) -> None:
         """Write or delete a key at the current revision."""
@@ -122,11 +140,44 @@
 
     def grant(self, ttl_s: float, now: float) -> int:
         """Grant a lease."""
-        lease_id = next(self._lease_ids)
+        lease_id = self._next_lease_id
+        self._next_lease_id += 1
         self.leases[lease_id] = now + ttl_s
         self.ttls[lease_id] = ttl_s
         return lease_id
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents."""
+        return StoreCopy(
+            self.revision,
+            dict(self.items),
+            tuple(self.history),
+            self.compacted,
+            dict(self.leases),
+            dict(self.ttls),
+            self._next_lease_id,
+        )
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Replace the contents by those of a copy and begin the next era.
+
+        All that was written since the copy is lost. Its revisions and lease ids are
+        assigned again.
+        """
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self.compacted = copy.compacted
+        self.leases = dict(copy.leases)
+        self.ttls = dict(copy.ttls)
+        self._next_lease_id = copy.next_lease_id
+        if self.era is not None:
+            self.era += 1
+
+    def has_history_since(self, revision: int) -> bool:
+        """Return whether all changes after a revision are known."""
+        return self.compacted <= revision <= self.revision
+
     def expire(self, now: float) -> None:
         """Remove the expired leases."""
         for lease_id in [
@@ -163,10 +214,13 @@
         if self.faults.mode == "silent":
             return PendingWatch(name, "", 0)
         if self.faults.mode != "ok":
-            return _answer({}, 503 if self.faults.mode == "busy" else 429)
+            status = 503 if self.faults.mode == "busy" else 429
+            return self._add_era(_answer({}, status))
         self.store.expire(self._clock.now())
         params = {key: values[0] for key, values in parse_qs(parts.query).items()}
         resp = self._execute(name, req, call, params)
+        if isinstance(resp, HttpResponse):
+            resp = self._add_era(resp)
         is_write = call == "txn"
         if is_write and self.faults.lost_answers > 0:
             self.faults.lost_answers -= 1
@@ -213,7 +267,7 @@
 
     def _watch(self, name, params):
         after = int(params["after"])
-        if after < self.store.compacted:
+        if not self.store.has_history_since(after):
             return _answer({}, 410)
         watch = PendingWatch(name, params["path_prefix"], after)
         events = self._events(watch)
@@ -267,7 +321,7 @@
         timed_out = set(self._timers.pop_due(now))
         for name, watch in list(self._watches.items()):
             events = self._events(watch)
-            if watch.after < self.store.compacted:
+            if not self.store.has_history_since(watch.after):
                 yield self._end_watch(name, _answer({}, 410))
             elif events or name in timed_out:
                 doc = {"events": events, "at_rev": self.store.revision}
@@ -276,7 +330,13 @@
     def _end_watch(self, name, resp):
         del self._watches[name]
         self._timers.cancel(name)
-        return Answer(name, Outcome.DONE, resp)
+        return Answer(name, Outcome.DONE, self._add_era(resp))
+
+    def _add_era(self, resp):
+        if self.store.era is None:
+            return resp
+        era = (ERA_HEADER, str(self.store.era))
+        return evolve(resp, headers=(*resp.headers, era))
 
     def render(self, answer: Answer) -> HttpResponse:
         """Return the response of an answer."""
