Don't try to repair the stored configuration where only operators write it

A node that watched an older configuration than its own encoded its own to overwrite the stored one. The codec of the platform refuses that with an error, after which the signal was given up and no further watch was started.

--- a/src/monsoonmill/codec.py
+++ b/src/monsoonmill/codec.py
@@ -5,6 +5,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
+from typing import ClassVar
 
 from monsoonmill.claim_records import ClaimMap
 from monsoonmill.model import Config
@@ -50,7 +51,15 @@
 
 
 class ConfigCodec(ABC):
-    """Encodes the values that nodes store in the platform's service."""
+    """Encodes the values that nodes store in the platform's service.
+
+    Attributes
+    ----------
+    is_read_only : bool
+        Whether only operators write the configuration; ``encode`` then fails.
+    """
+
+    is_read_only: ClassVar[bool] = False
 
     @abstractmethod
     def encode(self, config: Config) -> bytes:
--- a/src/monsoonmill/decisions/configuration/configuration.py
+++ b/src/monsoonmill/decisions/configuration/configuration.py
@@ -2,7 +2,9 @@
 
 The platform stores the configuration as one value that is only changed by
 compare-and-swap. A node adopts any configuration with a higher revision than
-its own, from the platform or from another node, and never a lower one.
+its own, from the platform or from another node, and never a lower one. So a store
+that returns from an older copy takes no configuration back. Its versions only tell
+which values have been processed; they grow across such a return.
 """
 
 from random import Random
@@ -159,7 +161,8 @@
             self._malformed_version = stored.version
             return
         yield from self.adopt(config)
-        if request == WATCH and config.revision < self.view.config.revision:
+        is_older = config.revision < self.view.config.revision
+        if request == WATCH and is_older and not self.codec.is_read_only:
             value = self.codec.encode(self.view.config)
             yield PlatformSwap(REPAIR_WRITE, CONFIG_KEY, stored.version, value)
 
--- a/src/monsoonmill/platform/config_codec.py
+++ b/src/monsoonmill/platform/config_codec.py
@@ -48,6 +48,8 @@
 class StoredConfigCodec(ConfigCodec):
     """Decodes the operators' configuration; nodes never write it."""
 
+    is_read_only = True
+
     def encode(self, config: Config) -> bytes:
         """Raise an error, since only operators write the configuration."""
         raise MalformedMessageError("only operators may write the configuration")
