Order versions of the platform's store by its era

The store's revisions go back and are assigned again when it returns from an older copy, so that newer values looked older. The client reads Store-Era in each response and puts it above the revision in one integer. When the era rises it drops watched revisions and lease ids, which may be those of others now, and a watch starts again by reading the key. A write that is based on an earlier era is a conflict; one that meets a new era may have replaced another value and is reported as uncertain. A response of an earlier era than one seen before counts as no response.

A pair of numbers as version was weighed: it would change the claim map and the slices, whose versions travel between nodes, and these never leave era 0. Revisions above 2^48 are now malformed.

Every second 410 in a row delays the next watch, and a store that tells no revision is not read again at once: both would repeat without a pause.

--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -151,7 +151,13 @@
 
 @frozen
 class StoredValue:
-    """Value and version of a key; version 0 and no value if it is absent."""
+    """Value and version of a key; version 0 and no value if it is absent.
+
+    Attributes
+    ----------
+    version : int
+        Grows with each change, also across a return of the store from a copy.
+    """
 
     key: str
     version: int
@@ -179,3 +185,18 @@
 
     request: str
     error: Exception
+
+
+@frozen
+class StoreReturned:
+    """The store has returned from an older copy.
+
+    What was written since the copy is lost, and all leases count as lost.
+
+    Attributes
+    ----------
+    era : int
+        Number of times that the store has returned.
+    """
+
+    era: int
--- a/src/monsoonmill/platform/store_client.py
+++ b/src/monsoonmill/platform/store_client.py
@@ -4,9 +4,10 @@
 from binascii import Error as Base64Error
 from collections.abc import Iterable, Iterator
 from json import dumps
+from typing import Annotated
 
 from attrs import field, frozen
-from msgspec import Raw
+from msgspec import Meta, Raw
 from urllib3 import BaseHTTPResponse, HTTPConnectionPool, Timeout
 from urllib3.exceptions import HTTPError
 
@@ -24,19 +25,29 @@
 from monsoonmill.settings import PlatformSettings
 from monsoonmill.store.client import PlatformClient
 from monsoonmill.store.errors import BadCallError, LeaseNotLiveError
+from monsoonmill.store.versions import (
+    MAX_ERA,
+    MAX_REVISION,
+    make_version,
+    split_version,
+)
 
 CONFIG_STORE_KEY = "op/config"
 PATH_PREFIX = "/monsoonmill/"
+ERA_HEADER = "Store-Era"
 WATCH_WAIT_MS = 4000
 """Time-out of a watch, which a silent connection extends by the time-out of a read.
 Nodes count as connected again 4 s after their connections stopped responding, and
 must then learn of a change within 2.5 s."""
+MAX_ERA_DIGITS = 10
 GONE_STATUS = 410
 NOT_FOUND_STATUS = 404
 CONFLICT_STATUS = 412
 MAX_PAGES = 20
 """Maximum number of pages of a listing; a page has about 500 items."""
 
+Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
+
 log = get_logger("store.kv")
 
 
@@ -51,7 +62,7 @@
     """
 
     key: Name
-    revision: NonNegativeInt
+    revision: Revision
     value: str | None = None
     tombstone: bool = False
 
@@ -81,9 +92,9 @@
         Revision of the store at the time of the read.
     """
 
-    revision: NonNegativeInt = 0
+    revision: Revision = 0
     value: str | None = None
-    at_rev: NonNegativeInt = 0
+    at_rev: Revision = 0
 
 
 @frozen
@@ -99,7 +110,7 @@
     """Answer to a watch; without ``at_rev`` the watch continues where it was."""
 
     events: list[Raw] = field(factory=list)
-    at_rev: NonNegativeInt | None = None
+    at_rev: Revision | None = None
 
 
 @frozen
@@ -113,7 +124,7 @@
 class WriteAnswer:
     """Answer to a transaction."""
 
-    revision: NonNegativeInt
+    revision: Revision
 
 
 @frozen
@@ -146,6 +157,9 @@
 class KvClient(PlatformClient):
     """Blocking client with one connection; it sends each call only once.
 
+    Revisions and lease ids are valid only in the era of the store in which they were
+    assigned. When a response shows a later era, the client drops those that it has.
+
     Parameters
     ----------
     timeout_s : float
@@ -158,7 +172,9 @@
         self._pool = HTTPConnectionPool(address.host, address.port, maxsize=1)
         self._timeout_s = timeout_s
         self._prefix = prefix
+        self._era: int | None = None
         self._watched_revisions: dict[str, int] = {}
+        self._gone_keys: set[str] = set()
         self._lease_ids: dict[str, int] = {}
 
     @classmethod
@@ -166,6 +182,11 @@
         """Return a client of the first configured endpoint."""
         return cls(settings.endpoints[0], settings.timeout_ms / 1000, settings.prefix)
 
+    @property
+    def era(self) -> int | None:
+        """Number of times that the store has returned from a copy; None if unknown."""
+        return self._era
+
     def read(self, key: str) -> StoredValue:
         """Return the value and version of a key."""
         return self._read(key)[0]
@@ -185,7 +206,7 @@
             return StoredValue(key, 0, None), answer.at_rev
         item = StoreItem(self._full_key(key), answer.revision, answer.value)
         try:
-            return StoredValue(key, item.revision, item.decode_value()), answer.at_rev
+            return self._make_stored(key, item), answer.at_rev
         except MalformedMessageError as exc:
             raise PlatformUnavailableError(f"malformed response: {exc}") from exc
 
@@ -208,16 +229,37 @@
         )
         resp = self._send(call)
         if resp.status == GONE_STATUS:
-            # The store has dropped the history since then; read the current state.
+            self._check_gone(key)
+        else:
+            self._gone_keys.discard(key)
+        if resp.status == GONE_STATUS or key not in self._watched_revisions:
+            # The store has dropped the history since then, or has returned from an
+            # older copy with another history; read the current state.
             return self._start_watch(key, after)
         answer = _parse(resp, WatchAnswer)
         if answer.at_rev is not None:
             self._watched_revisions[key] = answer.at_rev
         return self._newest_event(key, answer.events)
 
+    def _check_gone(self, key):
+        """Fail at every second 410 in a row, so that the next watch is delayed.
+
+        A part of the store that lags behind the one that was read answers 410 at once,
+        and the watch would be repeated without a pause.
+        """
+        if key in self._gone_keys:
+            self._gone_keys.discard(key)
+            raise PlatformUnavailableError(f"{key}: no history to watch")
+        self._gone_keys.add(key)
+
     def _start_watch(self, key, after):
         stored, store_revision = self._read(key)
-        self._watched_revisions[key] = max(store_revision, stored.version)
+        _, revision = split_version(stored.version)
+        watched_revision = max(store_revision, revision)
+        if not watched_revision:
+            # Without it a watch would return, and be repeated, at once.
+            raise PlatformUnavailableError(f"{key}: the store told no revision")
+        self._watched_revisions[key] = watched_revision
         return stored if stored.version > after else None
 
     def _newest_event(self, key, events):
@@ -227,15 +269,24 @@
             return None
         newest = changes[-1]
         try:
-            return StoredValue(key, newest.revision, newest.decode_value())
+            return self._make_stored(key, newest)
         except MalformedMessageError as exc:
             log.warning("event_left_out", key=key, error=str(exc))
             return None
 
+    def _make_stored(self, key, item):
+        version = make_version(self._era or 0, item.revision)
+        return StoredValue(key, version, item.decode_value())
+
     def swap(
         self, key: str, expected: int, value: bytes | None, lease: str = ""
     ) -> StoredValue:
         """Write a key, or delete it if ``value`` is None, with compare-and-swap."""
+        era = self._era
+        expected_era, expected_revision = split_version(expected)
+        if expected and expected_era != era:
+            # The same revision may now be that of another value.
+            raise PlatformConflictError(key, expected, 0)
         full_key = self._full_key(key)
         if full_key == CONFIG_STORE_KEY:
             raise BadCallError("only operators may write the configuration")
@@ -248,7 +299,7 @@
                 entry["lease_id"] = self._find_lease_id(lease)
             writes.append(entry)
         doc = {
-            "expected": [{"key": full_key, "revision": expected}],
+            "expected": [{"key": full_key, "revision": expected_revision}],
             "writes": writes,
             "deletes": deletes,
         }
@@ -263,11 +314,18 @@
         if resp.status == CONFLICT_STATUS:
             items = _parse_items(_parse(resp, ConflictAnswer).items)
             actual = next((item.revision for item in items), 0)
-            raise PlatformConflictError(key, expected, actual)
+            version = make_version(self._era or 0, actual)
+            raise PlatformConflictError(key, expected, version)
         if resp.status == NOT_FOUND_STATUS:
             self._lease_ids.pop(lease, None)
             raise LeaseNotLiveError(lease)
-        return StoredValue(key, _parse(resp, WriteAnswer).revision, value)
+        if era not in (None, self._era):
+            # The expected revision and the lease were those of the earlier era.
+            raise PlatformUnavailableError(
+                f"{key}: written in era {self._era}, but meant for era {era}"
+            )
+        revision = _parse(resp, WriteAnswer).revision
+        return StoredValue(key, make_version(self._era or 0, revision), value)
 
     def _find_lease_id(self, lease):
         if lease not in self._lease_ids:
@@ -283,19 +341,25 @@
             The lease has expired and its keys are deleted; the next call grants a
             new lease.
         """
-        if lease in self._lease_ids:
-            path = f"kv-keep/{self._lease_ids[lease]}"
-            resp = self._send(
-                StoreCall("POST", path, {}, expected_statuses=(200, NOT_FOUND_STATUS))
-            )
-            if resp.status == NOT_FOUND_STATUS:
-                del self._lease_ids[lease]
-                raise LeaseNotLiveError(lease)
+        if lease in self._lease_ids and self._renew(lease):
             return
         doc = {"ttl_time": f"{int(ttl_s * 1000)}ms"}
         resp = self._send(StoreCall("POST", "kv-lease", {}, doc))
         self._lease_ids[lease] = _parse(resp, LeaseAnswer).lease_id
 
+    def _renew(self, lease):
+        """Renew a lease; return False if the store has returned without it."""
+        path = f"kv-keep/{self._lease_ids[lease]}"
+        resp = self._send(
+            StoreCall("POST", path, {}, expected_statuses=(200, NOT_FOUND_STATUS))
+        )
+        if lease not in self._lease_ids:
+            return False
+        if resp.status == NOT_FOUND_STATUS:
+            del self._lease_ids[lease]
+            raise LeaseNotLiveError(lease)
+        return True
+
     def list_keys(self, prefix: str) -> tuple[StoredValue, ...]:
         """Return all keys with a prefix; the listing may be seconds old."""
         return tuple(self._list(prefix))
@@ -312,12 +376,9 @@
             for item in _parse_items(answer.items):
                 after = item.key
                 try:
-                    value = item.decode_value()
+                    yield self._make_stored(item.key.removeprefix(self._prefix), item)
                 except MalformedMessageError as exc:
                     log.warning("item_left_out", key=item.key, error=str(exc))
-                    continue
-                key = item.key.removeprefix(self._prefix)
-                yield StoredValue(key, item.revision, value)
             if not answer.has_more:
                 return
 
@@ -342,8 +403,20 @@
             raise BadCallError(f"{call.path}: {resp.data[:200]!r}")
         if resp.status not in call.expected_statuses:
             raise PlatformUnavailableError(f"{call.path}: status {resp.status}")
+        self._check_era(call, _parse_era(resp))
         return resp
 
+    def _check_era(self, call, era):
+        """Note a later era, and refuse the response of an earlier one."""
+        if self._era is not None and era < self._era:
+            raise PlatformUnavailableError(
+                f"{call.path}: response of era {era} after one of era {self._era}"
+            )
+        if era != self._era:
+            self._era = era
+            self._watched_revisions.clear()
+            self._lease_ids.clear()
+
     def _request(self, call):
         timeout = Timeout(connect=self._timeout_s, read=self._timeout_s + call.wait_s)
         options = {"retries": False, "redirect": False, "timeout": timeout}
@@ -363,6 +436,15 @@
         )
 
 
+def _parse_era(resp):
+    """Return the era of a response; 0 if it is missing or unreadable."""
+    text = resp.headers.get(ERA_HEADER, "")
+    # The number of digits is limited, since long ones are slow to convert.
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+    era = int(text) if is_number else 0
+    return era if era <= MAX_ERA else 0
+
+
 def _parse(resp, type_):
     try:
         return decode_json(resp.data, type_)
--- a/src/monsoonmill/store/client.py
+++ b/src/monsoonmill/store/client.py
@@ -13,6 +13,7 @@
     PlatformSwap,
     PlatformWatch,
     StoredValue,
+    StoreReturned,
 )
 from monsoonmill.errors import PlatformError, PlatformUnavailableError
 from monsoonmill.eventlog import get_logger
@@ -29,6 +30,15 @@
     service's rate limit is exceeded.
     """
 
+    @property
+    def era(self) -> int | None:
+        """Number of times that the store has returned from an older copy.
+
+        None before the first response. Versions of a later era are higher. Leases of
+        an earlier era are lost, and with them their keys.
+        """
+        return 0
+
     @abstractmethod
     def read(self, key: str) -> StoredValue:
         """Return the value and version of a key."""
@@ -87,7 +97,8 @@
     client : PlatformClient
         Client used only by this task, which closes it.
     reply : callable
-        Called with the ``PlatformDone`` or ``PlatformFailed`` of each request.
+        Called with the ``PlatformDone`` or ``PlatformFailed`` of each request, and
+        before it with ``StoreReturned`` if its response showed a later era.
     """
 
     def __init__(
@@ -102,6 +113,7 @@
         self._clock = clock
         self._reply = reply
         self._is_unavailable = False
+        self._era: int | None = None
         self._handlers = {
             PlatformRead: self._read,
             PlatformWatch: self._watch,
@@ -114,7 +126,7 @@
         """Execute one request and reply with its result."""
         sent_at = self._clock.now()
         try:
-            values = tuple(self._handlers[type(message)](message))
+            values = tuple(self._execute(message))
         except PlatformError as exc:
             self._log_failure(message, exc)
             self._reply(PlatformFailed(message.request, exc))
@@ -129,6 +141,18 @@
             self._log_success()
             self._reply(PlatformDone(message.request, values, sent_at))
 
+    def _execute(self, message):
+        try:
+            yield from self._handlers[type(message)](message)
+        finally:
+            self._report_era()
+
+    def _report_era(self):
+        old, self._era = self._era, self._client.era
+        if old is not None and self._era != old:
+            log.warning("store_returned", task=self.name, era=self._era)
+            self._reply(StoreReturned(self._era))
+
     def _log_failure(self, message, exc):
         """Log the start of an outage, or a refused call, such as a conflict."""
         if isinstance(exc, PlatformUnavailableError) and not self._is_unavailable:
--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -249,6 +249,7 @@
     def __init__(self, status, data):
         self.status = status
         self.data = data
+        self.headers = {}
 
 
 def run_requests(client, *requests):
