Register seeds anew after the store has returned from an older copy

Leases that were granted since the copy are lost, and their ids are assigned again. A renewal of such an id succeeded although it was another node's lease, so that the own entry was never written again.

--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -132,7 +132,7 @@
         )
         self.backend = BackendIdentity()
         self.watchers = WatcherChoice(cfg, self.members, self.register)
-        self.seeds = SeedDirectory(cfg, self.members, rng)
+        self.seeds = SeedDirectory(cfg, self.members, rng, self.counters)
         self.readiness = Readiness(cfg, self.members, self.view, self.register)
         self._bus = SignalBus(
             node,
--- a/src/monsoonmill/decisions/members/seed_directory.py
+++ b/src/monsoonmill/decisions/members/seed_directory.py
@@ -3,10 +3,14 @@
 All nodes named as seeds in the settings may have been replaced since. So the
 nodes of each data centre that watch the platform also store their addresses
 there under a lease, and a node that knows no other node connects to them.
+
+A store that returns from an older copy has lost the leases. Its registered nodes then
+register anew, each after a random delay.
 """
 
 from random import Random
 
+from monsoonmill.counters import Counters
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.members.membership import Membership
 from monsoonmill.decisions.members.watchers import choose_watchers
@@ -17,6 +21,7 @@
     PlatformLease,
     PlatformList,
     PlatformSwap,
+    StoreReturned,
 )
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.errors import PlatformConflictError
@@ -34,6 +39,11 @@
 """Interval at which a node that knows no other node lists the seeds."""
 RENEWALS_PER_LIST = 3
 """A registered node lists the seeds once in this number of lease renewals."""
+MAX_RETURN_DELAY_S = 3.0
+"""Largest delay of a new registration after the store has returned. A registration
+takes at most 4 calls, so that 900 nodes stay within 1,200 writes a second."""
+STORE_RETURNS = "store-returns"
+"""Counter of the times that the store has returned from an older copy."""
 LEASE_REQUEST = "seed-lease"
 SWAP_REQUEST = "seed-swap"
 LIST_REQUEST = "seed-list"
@@ -43,23 +53,28 @@
 class SeedDirectory(Decision):
     """Registers the local node as a seed and finds the seeds of the fleet."""
 
-    def __init__(self, cfg: Settings, members: Membership, rng: Random):
+    def __init__(
+        self, cfg: Settings, members: Membership, rng: Random, counters: Counters
+    ):
         self._cfg = cfg.platform
         self._renew_s = cfg.members.seed_renew_ms / 1000
         self._members = members
         self._rng = rng
+        self._counters = counters
         self._timers = Timers()
         self._started_at = 0.0
         self._renewals = 0
         self._renewed_at = float("-inf")
         self._is_registered = False
         self._is_listing = False
+        self._store_era = 0
 
     def handlers(self):
         """Return the handlers of this decision."""
         return {
             PlatformDone: self.on_platform_done,
             PlatformFailed: self.on_platform_failed,
+            StoreReturned: self.on_store_returned,
         }
 
     def next_due(self):
@@ -143,6 +158,19 @@
             self._is_registered = False
             self._renewed_at = float("-inf")
 
+    def on_store_returned(self, signal, now):
+        """Register anew after a random delay; each return is reported by two tasks."""
+        if signal.era <= self._store_era:
+            return ()
+        self._store_era = signal.era
+        self._counters.add(STORE_RETURNS)
+        self._is_registered = False
+        self._renewed_at = float("-inf")
+        if not self._is_isolated():
+            delay_s = self._rng.uniform(0.0, MAX_RETURN_DELAY_S)
+            self._timers.set(CHECK, now + delay_s)
+        return ()
+
     def _write(self, version):
         return PlatformSwap(SWAP_REQUEST, self._key, version, b"", self._key)
 
