--- a/src/monsoonmill/decisions/members/seed_directory.py
+++ b/src/monsoonmill/decisions/members/seed_directory.py
@@ -17,6 +17,7 @@
 from monsoonmill.decisions.signals import (
     Connect,
     PlatformDone,
+    PlatformEra,
     PlatformFailed,
     PlatformLease,
     PlatformList,
@@ -161,7 +162,7 @@
     def on_store_returned(self, signal, now):
         """Register anew after a random delay; each return is reported by two tasks."""
         if signal.era <= self._store_era:
-            return ()
+            return
         self._store_era = signal.era
         self._counters.add(STORE_RETURNS)
         self._is_registered = False
@@ -169,7 +170,8 @@
         if not self._is_isolated():
             delay_s = self._rng.uniform(0.0, MAX_RETURN_DELAY_S)
             self._timers.set(CHECK, now + delay_s)
-        return ()
+        # The other client must not use lease ids and versions of the earlier era.
+        yield PlatformEra(signal.era)
 
     def _write(self, version):
         return PlatformSwap(SWAP_REQUEST, self._key, version, b"", self._key)
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -141,6 +141,13 @@
     ttl_s: float
 
 
+@frozen
+class PlatformEra:
+    """Tell all clients of the platform which era of its store has begun."""
+
+    era: int
+
+
 @frozen
 class PlatformList:
     """Read all keys with a prefix."""
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -18,6 +18,7 @@
 from monsoonmill.decisions.signals import (
     AddressLearned,
     Connect,
+    PlatformEra,
     PlatformLease,
     PlatformList,
     PlatformRead,
@@ -132,6 +133,7 @@
             PlatformLease: self._call_platform,
             PlatformList: self._call_platform,
             PlatformWatch: self._watch_platform,
+            PlatformEra: self._tell_store_era,
             AddressLearned: self._set_peer_address,
             Drained: self._on_drained,
             Ready: self._on_ready,
@@ -381,6 +383,10 @@
         self._core.counters.add(f"store-calls/{type(signal).__name__}")
         self._watch_task.post(signal)
 
+    def _tell_store_era(self, signal):
+        self._platform_task.post(signal)
+        self._watch_task.post(signal)
+
     def _set_peer_address(self, signal):
         self._transport.set_address(
             signal.node, signal.address, signal.region, signal.data_centre
--- a/src/monsoonmill/platform/store_client.py
+++ b/src/monsoonmill/platform/store_client.py
@@ -187,6 +187,13 @@
         """Number of times that the store has returned from a copy; None if unknown."""
         return self._era
 
+    def begin_era(self, era: int) -> None:
+        """Go to a later era; drop the revisions and lease ids of the one before."""
+        if self._era is None or era > self._era:
+            self._era = era
+            self._watched_revisions.clear()
+            self._lease_ids.clear()
+
     def read(self, key: str) -> StoredValue:
         """Return the value and version of a key."""
         return self._read(key)[0]
@@ -412,10 +419,7 @@
             raise PlatformUnavailableError(
                 f"{call.path}: response of era {era} after one of era {self._era}"
             )
-        if era != self._era:
-            self._era = era
-            self._watched_revisions.clear()
-            self._lease_ids.clear()
+        self.begin_era(era)
 
     def _request(self, call):
         timeout = Timeout(connect=self._timeout_s, read=self._timeout_s + call.wait_s)
--- a/src/monsoonmill/store/client.py
+++ b/src/monsoonmill/store/client.py
@@ -6,6 +6,7 @@
 from monsoonmill.clock import Clock
 from monsoonmill.decisions.signals import (
     PlatformDone,
+    PlatformEra,
     PlatformFailed,
     PlatformLease,
     PlatformList,
@@ -39,6 +40,10 @@
         """
         return 0
 
+    def begin_era(self, era: int) -> None:
+        """Go to an era that another client has seen, unless this one knows it."""
+        return
+
     @abstractmethod
     def read(self, key: str) -> StoredValue:
         """Return the value and version of a key."""
@@ -124,6 +129,10 @@
 
     def handle(self, message: object) -> None:
         """Execute one request and reply with its result."""
+        if isinstance(message, PlatformEra):
+            self._client.begin_era(message.era)
+            self._era = self._client.era
+            return
         sent_at = self._clock.now()
         try:
             values = tuple(self._execute(message))
--- a/tests/integration/test_store_return.py
+++ b/tests/integration/test_store_return.py
@@ -85,6 +85,22 @@
     await_status(host, "new", 200)
 
 
+# Guards against a node that starts beside the older copy, keeps the configuration that
+# it reads there and accepts a key that the fleet has withdrawn.
+def test_node_that_starts_after_the_return_gets_the_newer_configuration(tmp_path):
+    with PlatformFleet(tmp_path) as fleet:
+        write(fleet, 3, "secret", "old")
+        copy = take_copy(fleet)
+        write(fleet, 4, "secret")
+        _, host = fleet.start().hosts
+        await_status(host, "old", 401)
+        fleet.kill(host)
+        return_from(fleet, copy)
+        fleet.start(host)
+        wait_until(lambda: host.call(key="old").status == 401, SEED_ENTRY_S)
+        assert host.call(key="secret").status == 200
+
+
 # The id of the node's lease had been assigned to another node's by then, so that the
 # renewals of a lease that held nothing succeeded.
 def test_seed_entry_is_written_again_after_the_store_returns(fleet):
