--- a/src/monsoonmill/platform/store_client.py
+++ b/src/monsoonmill/platform/store_client.py
@@ -40,6 +40,7 @@
 Nodes count as connected again 4 s after their connections stopped responding, and
 must then learn of a change within 2.5 s."""
 MAX_ERA_DIGITS = 10
+"""More than the largest era has; long numbers are slow to convert."""
 GONE_STATUS = 410
 NOT_FOUND_STATUS = 404
 CONFLICT_STATUS = 412
@@ -443,7 +444,6 @@
 def _parse_era(resp):
     """Return the era of a response; 0 if it is missing or unreadable."""
     text = resp.headers.get(ERA_HEADER, "")
-    # The number of digits is limited, since long ones are slow to convert.
     is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS
     era = int(text) if is_number else 0
     return era if era <= MAX_ERA else 0
