Serve calls only in the regions that their route and organisation allow

The configuration limits where a call may be served and its body sent, but nothing acted on the lists.

The regions of a call are the intersection of the lists of its route, its organisation and, for a nested call without a key, the organisation of the request that makes it. The router leaves out all other nodes before it falls back to suspect or ejected ones, so that no retry leaves the regions either. A call without a region in common, or without a server there, is refused at once as not run (no-allowed-region). The node beside a server checks each attempt by its own configuration, on arrival and when it gets its slot, since the sender's may be older (region-not-allowed); the sender places such a call elsewhere.

The sender's check alone was ruled out for that reason. The lists are looked up in the configuration in force for each attempt rather than kept with the call, so that a retry obeys a list that was set meanwhile; without any list this costs one comparison.

--- a/src/monsoonmill/decisions/calls/authorization.py
+++ b/src/monsoonmill/decisions/calls/authorization.py
@@ -14,6 +14,9 @@
 from monsoonmill.reasons import Importance, Reason
 
 FINGERPRINT_BYTES = 8
+MAX_REGION_SETS = 1024
+"""Combinations of route and organisation whose allowed regions are kept. A fleet has
+tens of routes and organisations; more are computed again."""
 
 
 @frozen
@@ -63,6 +66,12 @@
             self._routes.setdefault(host, []).append(route)
         for routes in self._routes.values():
             routes.sort(key=lambda route: (-len(route.path), route.name))
+        self._region_sets: dict[tuple[str, ...], frozenset[str] | None] = {}
+        self._limits_regions = any(
+            entry.allowed_regions
+            for table in (self._config.routes, self._config.organisations)
+            for entry in table.values()
+        )
         self._weighted_routes = {
             route.name: _split_traffic(route)
             for route in self._config.routes.values()
@@ -150,11 +159,43 @@
         """Return whether the API key of a call has been withdrawn."""
         return key_name in self._withdrawn_names
 
+    def has_region_limit(self, organisation: str) -> bool:
+        """Return whether an organisation's calls may be served in some regions only."""
+        entry = self._config.organisations.get(organisation)
+        return entry is not None and bool(entry.allowed_regions)
+
+    def allowed_regions(self, route: str, *organisations: str) -> frozenset[str] | None:
+        """Return the regions in which a call may be served; None for all.
+
+        The lists of the route and of all given organisations are binding, as in the
+        configuration in force. Names that it does not contain set no limit.
+        """
+        if not self._limits_regions:
+            return None
+        names = (route, *organisations)
+        if names not in self._region_sets:
+            if len(self._region_sets) >= MAX_REGION_SETS:
+                self._region_sets.clear()
+            entries = [self._config.routes.get(route)]
+            entries += [self._config.organisations.get(name) for name in organisations]
+            self._region_sets[names] = _intersect_regions(entries)
+        return self._region_sets[names]
+
     def timeout_ms(self, service: str) -> int:
         """Return the time limit of a call whose caller sets none."""
         return self._config.services[service].timeout_ms
 
 
+def _intersect_regions(entries):
+    """Return the regions that all entries with a list allow; None for no limit."""
+    lists = [
+        frozenset(entry.allowed_regions)
+        for entry in entries
+        if entry is not None and entry.allowed_regions
+    ]
+    return frozenset.intersection(*lists) if lists else None
+
+
 def _split_traffic(route):
     """Return a route to each service of a traffic split, and their weights."""
     routes = [evolve(route, service=share.service, shares=()) for share in route.shares]
--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -29,6 +29,7 @@
     Reason.BACKEND_SERVER_SHED: RetryReason.SHED,
     Reason.DRAINING: RetryReason.DRAINING,
     Reason.NO_BACKEND_SERVER: RetryReason.DRAINING,
+    Reason.REGION_NOT_ALLOWED: RetryReason.REGION,
     Reason.CONNECTION_LOST: RetryReason.CONNECTION_LOST,
     Reason.BROKEN_ANSWER: RetryReason.CONNECTION_LOST,
 }
@@ -41,6 +42,7 @@
         Reason.QUEUE_FULL,
         Reason.DRAINING,
         Reason.NO_BACKEND_SERVER,
+        Reason.REGION_NOT_ALLOWED,
     )
 )
 """Reasons of refusals by a node, before its backend server received the call."""
@@ -139,6 +141,9 @@
         last attempt was sent.
     may_have_run : bool
         Whether any attempt so far may have run.
+    root_organisation : str
+        Organisation of the call above this one, if its allowed regions bind this call
+        too; empty for none.
     token_organisation : str
         Organisation that gets its token back if the call never runs; empty if
         the call holds no token.
@@ -152,6 +157,7 @@
     controller: CallController
     arrived_at: float
     parent: str = ""
+    root_organisation: str = ""
     retries_left: int = 0
     delegated_retries: int = 0
     attempt: str = ""
--- a/src/monsoonmill/decisions/calls/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -73,6 +73,8 @@
         resolve = self._resolve_nested_call if is_nested else self._resolve_root_call
         route, caller, context = resolve(arrival, now)
         self._check_drain(context.deadline)
+        root_organisation = self._root_organisation(arrival, caller)
+        self._check_regions(route, context.organisation, root_organisation)
         fingerprint = self._fingerprint(arrival)
         if context.deadline <= now:
             raise CallRefusedError(Reason.DEADLINE)
@@ -88,6 +90,7 @@
             controller,
             now,
             parent=arrival.context,
+            root_organisation=root_organisation,
             retries_left=self._retry_budget(arrival, route),
         )
 
@@ -117,6 +120,26 @@
         if ends_at is not None and deadline > ends_at - DRAIN_MARGIN_S:
             raise CallRefusedError(Reason.DRAINING, retry_after_s=DRAINING_RETRY_S)
 
+    def _root_organisation(self, arrival, caller):
+        """Return the organisation of a running parent whose regions are limited."""
+        if caller.key or not arrival.parent_id:
+            return ""
+        organisation = self._running_requests.organisation(arrival.parent_id)
+        limits_regions = self._authorization.has_region_limit(organisation)
+        return organisation if limits_regions else ""
+
+    def _check_regions(self, route, *organisations):
+        """Refuse a call that may not be served anywhere.
+
+        Raises
+        ------
+        CallRefusedError
+            The lists of allowed regions that bind the call have no region in common.
+        """
+        regions = self._authorization.allowed_regions(route.name, *organisations)
+        if regions is not None and not regions:
+            raise CallRefusedError(Reason.NO_ALLOWED_REGION, route.name)
+
     def _fingerprint(self, arrival):
         req = arrival.request
         fingerprint = fingerprint_request(
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -198,12 +198,18 @@
         if call.caller.key and self._authorization.is_withdrawn(call.caller.key):
             call.outbox.append(DeferredEvent("no_backend_server", Reason.KEY_WITHDRAWN))
             return
+        regions = self._authorization.allowed_regions(
+            call.route.name, call.context.organisation, call.root_organisation
+        )
         node = self._router.choose(
-            service, call.context.importance, frozenset(call.excluded), call.now
+            service,
+            call.context.importance,
+            frozenset(call.excluded),
+            call.now,
+            regions,
         )
         if node is None:
-            is_served = self._router.has_backend_server(service)
-            reason = Reason.SHED if is_served else Reason.NO_BACKEND_SERVER
+            reason = self._placement_refusal(service, regions)
             call.outbox.append(DeferredEvent("no_backend_server", reason))
             return
         call.rerun_cost = self._router.target(node).load.work
@@ -217,6 +223,14 @@
         call.outbox.append(AttemptStarted(node, call.route.name))
         call.outbox.append(Send(node, self._make_forward(call)))
 
+    def _placement_refusal(self, service, regions):
+        """Return why no node can take a call."""
+        if self._router.has_backend_server(service, regions):
+            return Reason.SHED
+        if regions is not None and self._router.has_backend_server(service):
+            return Reason.NO_ALLOWED_REGION
+        return Reason.NO_BACKEND_SERVER
+
     def _make_forward(self, call):
         context = call.context
         return Forward(
@@ -233,6 +247,7 @@
             fingerprint=call.fingerprint,
             key=call.caller.key,
             request_id=call.arrival.request_id,
+            root_organisation=call.root_organisation,
         )
 
     def on_reply(self, signal, now):
--- a/src/monsoonmill/decisions/calls/execution.py
+++ b/src/monsoonmill/decisions/calls/execution.py
@@ -131,7 +131,11 @@
         self.controller.amplification.record_run()
         self.controller.nested_overload.record_run(self.now)
         forward = self.forward
-        self.controller.running_requests.add(forward.request_id, forward.importance)
+        self.controller.running_requests.add(
+            forward.request_id,
+            forward.importance,
+            forward.root_organisation or forward.organisation,
+        )
         context = CallContext(
             forward.organisation,
             forward.importance,
@@ -163,10 +167,10 @@
         self.leave_queue(arg)
         self._reply(Outcome.NOT_RUN, Reason.DEADLINE)
 
-    def reply_key_withdrawn(self, arg):
-        """Reply that the API key was withdrawn before the attempt ran."""
-        self.leave_queue(arg)
-        self._reply(Outcome.NOT_RUN, Reason.KEY_WITHDRAWN)
+    def reply_permission_lapsed(self, reason: Reason):
+        """Reply that the attempt must no longer run here, and never ran."""
+        self.leave_queue(reason)
+        self._reply(Outcome.NOT_RUN, reason)
 
     def reply_draining_in_queue(self, arg):
         """Reply that the node exits before the attempt ran."""
--- a/src/monsoonmill/decisions/calls/executions.py
+++ b/src/monsoonmill/decisions/calls/executions.py
@@ -13,6 +13,7 @@
     Execution,
     ExecutionController,
 )
+from monsoonmill.decisions.calls.location_rules import LocationRules
 from monsoonmill.decisions.calls.pause_detector import PauseDetector
 from monsoonmill.decisions.calls.running_requests import RunningRequests
 from monsoonmill.decisions.calls.signals import RunFailure, RunFinished
@@ -52,6 +53,7 @@
     def __init__(
         self,
         authorization: Authorization,
+        location: LocationRules,
         admission: Admission,
         contexts: Contexts,
         poison: PoisonGuard,
@@ -72,6 +74,7 @@
         self.instance = ""
         self.draining = False
         self._authorization = authorization
+        self._location = location
         self._poison = poison
         self._crashes = CrashCounter()
         self._service = ""
@@ -173,6 +176,9 @@
             raise CallRefusedError(Reason.NO_BACKEND_SERVER)
         if self.draining or self._backend_draining:
             raise CallRefusedError(Reason.DRAINING)
+        reason = self._location.find_refusal(forward)
+        if reason is not None:
+            raise CallRefusedError(reason)
         if forward.at_most_once and self._pause_detector.may_be_stale(now):
             raise CallRefusedError(Reason.UNREACHABLE)
         if forward.key and self._authorization.is_withdrawn(forward.key):
@@ -188,20 +194,26 @@
             yield from self._dispatch(signal.message.attempt, "cancelled", now)
 
     def on_admitted(self, signal, now):
-        """Run an attempt that has a slot, unless its deadline or API key has lapsed."""
+        """Run an attempt that has a slot, unless what it needs has lapsed meanwhile.
+
+        That is its deadline, its API key, or its permission to run at this location.
+        """
         execution = self._executions.get(signal.attempt)
         if execution is not None:
-            event = self._event_on_admission(execution, now)
-            yield from self._dispatch(signal.attempt, event, now)
+            event, reason = self._event_on_admission(execution, now)
+            if reason is not None:
+                self.counters.add(reason)
+            yield from self._dispatch(signal.attempt, event, now, reason)
 
     def _event_on_admission(self, execution, now):
+        """Return the event for the chart, and the reason if it is a refusal."""
         if now >= execution.deadline:
-            return "timed_out"
+            return "timed_out", None
         key = execution.forward.key
         if key and self._authorization.is_withdrawn(key):
-            self.counters.add(Reason.KEY_WITHDRAWN)
-            return "key_withdrawn"
-        return "admitted"
+            return "permission_lapsed", Reason.KEY_WITHDRAWN
+        reason = self._location.find_refusal(execution.forward)
+        return ("admitted" if reason is None else "permission_lapsed"), reason
 
     def on_not_admitted(self, signal, now):
         """Refuse an attempt that is not admitted."""
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -10,6 +10,7 @@
 from monsoonmill.decisions.calls.call_checks import CallChecks
 from monsoonmill.decisions.calls.call_flow import CallFlow
 from monsoonmill.decisions.calls.executions import Executions
+from monsoonmill.decisions.calls.location_rules import LocationRules
 from monsoonmill.decisions.calls.running_requests import RunningRequests
 from monsoonmill.decisions.configuration.configuration import ConfigRegister, ConfigView
 from monsoonmill.decisions.decision import SignalBus
@@ -114,6 +115,7 @@
         )
         self.executions = Executions(
             self.authorization,
+            LocationRules(cfg, self.authorization),
             self.admission,
             self.contexts,
             self.poison,
--- a/src/monsoonmill/decisions/routing/router.py
+++ b/src/monsoonmill/decisions/routing/router.py
@@ -10,6 +10,7 @@
 
 from attrs import define
 
+from monsoonmill.decisions.configuration.signals import ConfigChanged
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.health.health import Health
 from monsoonmill.decisions.members.membership import Membership
@@ -24,6 +25,9 @@
 SHED_PROBE_RATIO = 0.05
 """Share of calls sent to a node although its last reply says it would shed them."""
 
+MAX_INDEXED = 1024
+"""Combinations of service and allowed regions whose candidates are kept. A fleet has
+tens of services, and a few sets of regions for each."""
 MAX_PREFERRED_LOAD = 0.9
 """A node with at most this many calls per slot is preferred to nodes farther away."""
 CROSS_REGION_PENALTY = 0.5
@@ -133,7 +137,7 @@
         self._health = health
         self._placement = placement
         self._targets: dict[str, Target] = {}
-        self._by_service: dict[str, list[Member]] = {}
+        self._by_service: dict[tuple[str, frozenset[str] | None], list[Member]] = {}
         self._indexed_own = None
 
     @property
@@ -144,6 +148,7 @@
     def handlers(self):
         """Return the handlers of this decision."""
         return {
+            ConfigChanged: self.on_config_changed,
             MembersChanged: self.on_members_changed,
             PeerDown: self.on_peer_down,
         }
@@ -156,6 +161,11 @@
             del self._targets[node]
         return ()
 
+    def on_config_changed(self, signal, now):
+        """Discard the indexed candidates, since the allowed regions may differ."""
+        self._by_service.clear()
+        return ()
+
     def on_peer_down(self, signal, now):
         """Discard the load of a node whose stream was lost."""
         self._targets.pop(signal.node, None)
@@ -184,10 +194,23 @@
             target.load_at = now
 
     def choose(
-        self, service: str, importance: Importance, excluded: frozenset, now: float
+        self,
+        service: str,
+        importance: Importance,
+        excluded: frozenset,
+        now: float,
+        regions: frozenset[str] | None = None,
     ) -> str | None:
-        """Return the node for an attempt, or None if there is none."""
-        candidates = self._candidates(service)
+        """Return the node for an attempt, or None if there is none.
+
+        Parameters
+        ----------
+        excluded : frozenset of str
+            Names of nodes that are not chosen.
+        regions : frozenset of str or None
+            Regions in which the call may be served; None for all.
+        """
+        candidates = self._candidates(service, regions)
         usable = [
             member
             for member in candidates
@@ -201,28 +224,35 @@
         ]
         return self._placement.pick(admitting, self, now)
 
-    def has_backend_server(self, service: str) -> bool:
-        """Return whether any node has a backend server of the service."""
-        return bool(self._candidates(service))
+    def has_backend_server(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> bool:
+        """Return whether any node in the regions serves a service."""
+        return bool(self._candidates(service, regions))
 
     def _admits(self, member, importance, now):
         if self.target(member.node).would_admit(importance, now):
             return True
         return self.rng.random() < SHED_PROBE_RATIO
 
-    def _candidates(self, service):
+    def _candidates(self, service, regions):
         if self._indexed_own is not self._members.own:
             self._indexed_own = self._members.own
             self._by_service.clear()
-        if service not in self._by_service:
-            self._by_service[service] = list(self._find_candidates(service))
-        return self._by_service[service]
-
-    def _find_candidates(self, service):
+        key = (service, regions)
+        if key not in self._by_service:
+            if len(self._by_service) >= MAX_INDEXED:
+                self._by_service.clear()
+            self._by_service[key] = self._find_candidates(service, regions)
+        return self._by_service[key]
+
+    def _find_candidates(self, service, regions):
         serving = [
             member
             for member in self._members.members()
-            if member.service == service and member.accepts_calls
+            if member.service == service
+            and member.accepts_calls
+            and (regions is None or member.region in regions)
         ]
         alive = [member for member in serving if member.state is MemberState.ALIVE]
         suspect = [member for member in serving if member.state is MemberState.SUSPECT]
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -166,6 +166,9 @@
         Request id given by the caller; empty if there is none.
     rank : int
         Rank of the call's chain among those of the same importance.
+    root_organisation : str
+        Organisation of the call above this one, if its allowed regions bind this call
+        too; empty for none.
     """
 
     attempt: str
@@ -182,6 +185,7 @@
     key: str = ""
     request_id: str = ""
     rank: int = 0
+    root_organisation: str = ""
 
 
 @frozen
--- a/src/monsoonmill/reasons.py
+++ b/src/monsoonmill/reasons.py
@@ -28,7 +28,12 @@
 
 @unique
 class Reason(Enum):
-    """Why a call was refused or failed."""
+    """Why a call was refused or failed.
+
+    ``NO_ALLOWED_REGION``: no region is left in which the call may run, or none of them
+    has a backend server. ``REGION_NOT_ALLOWED``: the call may not run in the region of
+    the node that received the attempt.
+    """
 
     BAD_REQUEST = "bad-request"
     TOO_LARGE = "too-large"
@@ -44,6 +49,8 @@
     QUEUE_FULL = "queue-full"
     BACKEND_SERVER_SHED = "backend-server-shed"
     NO_BACKEND_SERVER = "no-backend-server"
+    NO_ALLOWED_REGION = "no-allowed-region"
+    REGION_NOT_ALLOWED = "region-not-allowed"
     UNREACHABLE = "unreachable"
     CONNECTION_LOST = "connection-lost"
     BROKEN_ANSWER = "broken-answer"
@@ -73,6 +80,7 @@
     UNREACHABLE = "retry-unreachable"
     SHED = "retry-shed"
     DRAINING = "retry-draining"
+    REGION = "retry-region"
     CONNECTION_LOST = "retry-connection-lost"
     BUDGET_SPENT = "no-retry-budget-spent"
     RATIO_SPENT = "no-retry-ratio-spent"
@@ -96,6 +104,8 @@
     Reason.QUEUE_FULL: 503,
     Reason.BACKEND_SERVER_SHED: 503,
     Reason.NO_BACKEND_SERVER: 503,
+    Reason.NO_ALLOWED_REGION: 503,
+    Reason.REGION_NOT_ALLOWED: 503,
     Reason.UNREACHABLE: 503,
     Reason.CONNECTION_LOST: 502,
     Reason.BROKEN_ANSWER: 502,
