Read the orders to evacuate data centres from the platform's store

Operators order the evacuation of a data centre by a key in the store, which no node read.

Where the contract parameters bound the time of an evacuation (platform.evacuation_ms), the first read lists the operators' keys in place of reading the configuration, and the nodes that watch the configuration watch the prefix of all operators' keys, so that there are as many calls as before. A watch that starts, or that gets 410, lists the keys, so that a withdrawal in the lost history is seen; a listing is never read from an old copy. The version of a state is the store revision up to which it includes all orders: the revision of a single order can't tell that another one was withdrawn.

The product's own key-value service has no such keys; its clients report that no data centre is evacuated.

--- a/src/monsoonmill/decisions/configuration/configuration.py
+++ b/src/monsoonmill/decisions/configuration/configuration.py
@@ -9,6 +9,10 @@
 
 from monsoonmill.codec import ConfigCodec
 from monsoonmill.config_delta import apply_delta, make_delta
+from monsoonmill.decisions.configuration.evacuations import (
+    EVACUATION_PREFIX,
+    Evacuations,
+)
 from monsoonmill.decisions.configuration.pending_note import (
     CONFIG_KEY,
     NOTE_CHART,
@@ -54,10 +58,24 @@
 
 
 class ConfigView:
-    """Shares the configuration in force; only the register replaces it."""
+    """Shares what is in force; only the registers replace it.
+
+    Attributes
+    ----------
+    config : Config
+        The configuration in force.
+    evacuations : Evacuations
+        The newest known evacuation orders.
+    """
 
     def __init__(self, config: Config | None = None):
         self.config = config or Config()
+        self.evacuations = Evacuations()
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Names of the evacuated data centres."""
+        return self.evacuations.data_centres
 
 
 class ConfigRegister(Decision, NoteRegister):
@@ -74,6 +92,7 @@
         self._pending: dict[str, PendingNote] = {}
         self._queued_adoptions: list[Config] = []
         self._watched_version = 0
+        self._also = EVACUATION_PREFIX if cfg.platform.evacuation_ms else ""
         self.has_read_platform = False
         self._is_watching = False
         self._wants_watch = False
@@ -98,14 +117,14 @@
 
     def start(self, now):
         """Read the stored configuration from the platform."""
-        yield PlatformRead(FIRST_READ, CONFIG_KEY)
+        yield PlatformRead(FIRST_READ, CONFIG_KEY, self._also)
 
     def set_watching(self, wanted: bool, now: float):
         """Start to watch the stored configuration, or stop after the current watch."""
         self._wants_watch = wanted
         if wanted and not self._is_watching:
             self._is_watching = True
-            yield PlatformWatch(WATCH, CONFIG_KEY, self._watched_version)
+            yield PlatformWatch(WATCH, CONFIG_KEY, self._watched_version, self._also)
 
     def on_note_submitted(self, signal, now):
         """Start to accept a release note, unless too many are pending."""
@@ -138,14 +157,16 @@
     def _on_value_read(self, signal, now):
         self.has_read_platform = True
         has_newer = False
-        for stored in signal.values:
+        # The others are evacuation orders.
+        values = [stored for stored in signal.values if stored.key == CONFIG_KEY]
+        for stored in values:
             if stored.version > self._watched_version and stored.value is not None:
                 self._watched_version = stored.version
                 has_newer = True
                 yield from self._process_stored(signal.request, stored)
         if signal.request != WATCH:
             return
-        if has_newer or not signal.values:
+        if has_newer or not values:
             yield from self._restart_watch(now)
         else:
             # The key was removed: a new watch would return immediately.
--- /dev/null
+++ b/src/monsoonmill/decisions/configuration/evacuation_register.py
@@ -0,0 +1,103 @@
+"""The evacuation register: keeps the newest known orders to evacuate data centres.
+
+Nodes that watch the configuration get the orders with the same watch. All others learn
+the version from the gossip of any node, and request the orders if it is newer.
+"""
+
+from monsoonmill.decisions.configuration.configuration import (
+    FIRST_READ,
+    WATCH,
+    ConfigView,
+)
+from monsoonmill.decisions.configuration.evacuations import (
+    EVACUATION_PREFIX,
+    Evacuations,
+)
+from monsoonmill.decisions.configuration.signals import (
+    EvacuationsAdopted,
+    EvacuationsChanged,
+)
+from monsoonmill.decisions.decision import Decision
+from monsoonmill.decisions.signals import PlatformDone, Received, Send, StoredListing
+from monsoonmill.messages import EvacuationsReply, EvacuationsRequest, MemberGossip
+from monsoonmill.settings import Settings
+
+REQUEST_INTERVAL_S = 0.5
+"""Minimum time between two requests while the first one is unanswered. A lost reply
+may cost a tenth of the 5 s within which an evacuation takes effect."""
+
+
+class EvacuationRegister(Decision):
+    """Adopts newer orders from the platform and from other nodes."""
+
+    def __init__(self, cfg: Settings, view: ConfigView):
+        self._is_active = cfg.platform.evacuation_ms > 0
+        self._view = view
+        self._requested_at = float("-inf")
+
+    def handlers(self):
+        """Return the handlers of this decision; none where nobody evacuates."""
+        if not self._is_active:
+            return {}
+        return {
+            PlatformDone: self.on_platform_done,
+            MemberGossip: self.on_gossip,
+            EvacuationsRequest: self.on_request,
+            EvacuationsReply: self.on_reply,
+        }
+
+    def on_platform_done(self, signal, now):
+        """Adopt the orders that were read or that a watch reports."""
+        if signal.request not in (WATCH, FIRST_READ):
+            return
+        new = self._view.evacuations
+        changes = []
+        for stored in signal.values:
+            if isinstance(stored, StoredListing):
+                listed = Evacuations.from_listing(stored)
+                new = max(new, listed, key=lambda state: state.version)
+            elif stored.key.startswith(EVACUATION_PREFIX):
+                changes.append(stored)
+        yield from self._adopt(new.with_changes(changes), "platform")
+
+    def on_gossip(self, signal: Received, now):
+        """Request the orders of a node with a higher version, or send it newer ones.
+
+        A node without a version may be of a release that does not know the message,
+        and would close the stream.
+        """
+        own, other = self._view.evacuations, signal.message.evacuations
+        if (0, 0) < other < own.version:
+            yield Send(signal.node, own.reply())
+        elif other > own.version and now - self._requested_at >= REQUEST_INTERVAL_S:
+            self._requested_at = now
+            yield Send(signal.node, EvacuationsRequest(own.version))
+
+    def on_request(self, signal: Received, now):
+        """Send the orders if they are newer than the sender's."""
+        if self._view.evacuations.version > signal.message.version:
+            yield Send(signal.node, self._view.evacuations.reply())
+
+    def on_reply(self, signal: Received, now):
+        """Adopt the sender's orders if they are newer."""
+        self._requested_at = float("-inf")
+        yield from self._adopt(Evacuations.from_reply(signal.message), signal.node)
+
+    def _adopt(self, new, source):
+        old = self._view.evacuations
+        if new.version <= old.version:
+            return
+        self._view.evacuations = new
+        if new.data_centres != old.data_centres:
+            names = tuple(sorted(new.data_centres))
+            yield EvacuationsAdopted(new.version, names, source)
+            yield EvacuationsChanged(old, new)
+
+    def status(self):
+        """Return the version and the evacuated data centres."""
+        state = self._view.evacuations
+        era, revision = state.version
+        return {
+            "version": f"{era}/{revision}",
+            "data_centres": sorted(state.data_centres),
+        }
--- a/src/monsoonmill/decisions/configuration/signals.py
+++ b/src/monsoonmill/decisions/configuration/signals.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from monsoonmill.decisions.configuration.evacuations import Evacuations
 from monsoonmill.model import Config
 
 
@@ -43,3 +44,20 @@
 
     old: Config
     new: Config
+
+
+@frozen
+class EvacuationsAdopted:
+    """Changed evacuation orders were adopted; for the log."""
+
+    version: tuple[int, int]
+    data_centres: tuple[str, ...]
+    source: str
+
+
+@frozen
+class EvacuationsChanged:
+    """Data centres were evacuated, or their evacuation was withdrawn."""
+
+    old: Evacuations
+    new: Evacuations
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -98,19 +98,33 @@
 
 @frozen
 class PlatformRead:
-    """Read a key from the platform."""
+    """Read a key from the platform.
+
+    Attributes
+    ----------
+    also : str
+        Prefix of keys that are listed together with the key; empty for none.
+    """
 
     request: str
     key: str
+    also: str = ""
 
 
 @frozen
 class PlatformWatch:
-    """Wait until the version of a key exceeds ``after``."""
+    """Wait until the version of a key exceeds ``after``.
+
+    Attributes
+    ----------
+    also : str
+        Prefix of keys whose changes end the watch too; empty for none.
+    """
 
     request: str
     key: str
     after: int
+    also: str = ""
 
 
 @frozen
@@ -158,18 +172,38 @@
     value: bytes | None
 
 
+@frozen
+class StoredListing:
+    """Names of all keys with a prefix.
+
+    Attributes
+    ----------
+    key : str
+        The prefix.
+    version : int
+        Version of the store up to which all changes of the keys are included.
+    """
+
+    key: str
+    version: int
+    names: tuple[str, ...]
+
+
 @frozen
 class PlatformDone:
     """A platform request succeeded.
 
     Attributes
     ----------
+    values : tuple of StoredValue or StoredListing
+        States of the keys. A change to one of the keys with the prefix of a watch has
+        its version also if the key was deleted; its value is then None.
     sent_at : float
         Time just before the request was sent, at which a lease term starts.
     """
 
     request: str
-    values: tuple[StoredValue, ...]
+    values: tuple[StoredValue | StoredListing, ...]
     sent_at: float
 
 
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -248,6 +248,8 @@
     is_list : bool
         Whether this is the response to a ``MemberListRequest``, whose entries
         may be old.
+    evacuations : tuple of int
+        Version of the sender's evacuation orders; (0, 0) if it knows none.
     """
 
     members: tuple[Member, ...]
@@ -255,6 +257,7 @@
     members_digest: int = 0
     answer: bool = False
     is_list: bool = False
+    evacuations: tuple[int, int] = (0, 0)
 
 
 @frozen
@@ -336,6 +339,29 @@
     withdrawn_count: int = 0
 
 
+@frozen
+class EvacuationsRequest:
+    """Requests the evacuation orders if they are newer than the sender's."""
+
+    version: tuple[int, int]
+
+
+@frozen
+class EvacuationsReply:
+    """Contains the evacuation orders.
+
+    Attributes
+    ----------
+    version : tuple of int
+        Era and revision of the store up to which all orders are included.
+    data_centres : tuple of str
+        Names of the evacuated data centres.
+    """
+
+    version: tuple[int, int]
+    data_centres: tuple[str, ...] = ()
+
+
 @frozen
 class SuspectReport:
     """Reports the requests that a backend server was executing when it crashed.
@@ -400,6 +426,8 @@
     ConfigRequest,
     ConfigReply,
     ConfigDelta,
+    EvacuationsRequest,
+    EvacuationsReply,
     TokenRequest,
     TokenGrant,
     TokenReturn,
--- a/src/monsoonmill/platform/settings.py
+++ b/src/monsoonmill/platform/settings.py
@@ -159,6 +159,10 @@
     if "quota_window" in params:
         window_ms = parse_ms(params["quota_window"])
         overlay["quota"] = {**overlay["quota"], "window_ms": int(window_ms)}
+    # Time within which an order to evacuate a data centre takes effect.
+    if "evacuation" in params:
+        evacuation_ms = int(parse_ms(params["evacuation"]))
+        overlay["platform"] = {**overlay["platform"], "evacuation_ms": evacuation_ms}
     if "config_apply" in params:
         ramp_ms = RAMP_FRACTION * parse_ms(params["config_apply"])
         overlay["quota"] = {**overlay["quota"], "ramp_ms": int(ramp_ms)}
--- a/src/monsoonmill/platform/store_client.py
+++ b/src/monsoonmill/platform/store_client.py
@@ -11,7 +11,7 @@
 from urllib3.exceptions import HTTPError
 
 from monsoonmill.decisions.configuration.pending_note import CONFIG_KEY
-from monsoonmill.decisions.signals import StoredValue
+from monsoonmill.decisions.signals import StoredListing, StoredValue
 from monsoonmill.errors import (
     MalformedMessageError,
     PlatformConflictError,
@@ -25,7 +25,9 @@
 from monsoonmill.store.client import PlatformClient
 from monsoonmill.store.errors import BadCallError, LeaseNotLiveError
 
+OPERATORS_STORE_PREFIX = "op/"
 CONFIG_STORE_KEY = "op/config"
+EVACUATION_STORE_PREFIX = "op/evacuate/"
 PATH_PREFIX = "/monsoonmill/"
 WATCH_WAIT_MS = 4000
 """Time-out of a watch, which a silent connection extends by the time-out of a read.
@@ -71,6 +73,18 @@
             raise MalformedMessageError(f"the value is not base64: {exc}") from exc
 
 
+@frozen
+class OrderItem:
+    """An operator's order, or an event that reports its change.
+
+    Its value has no meaning and is not read, so that no odd value hides an order.
+    """
+
+    key: Name
+    revision: NonNegativeInt
+    tombstone: bool = False
+
+
 @frozen
 class ItemAnswer:
     """Answer to a read of one key.
@@ -92,6 +106,7 @@
 
     items: list[Raw] = field(factory=list)
     has_more: bool = False
+    at_rev: NonNegativeInt = 0
 
 
 @frozen
@@ -194,19 +209,7 @@
         watched_revision = self._watched_revisions.get(key, 0)
         if not watched_revision:
             return self._start_watch(key, after)
-        fields = {
-            "path_prefix": self._full_key(key),
-            "after": str(watched_revision),
-            "wait_ms": str(WATCH_WAIT_MS),
-        }
-        call = StoreCall(
-            "GET",
-            "kv-watch",
-            fields,
-            wait_s=WATCH_WAIT_MS / 1000,
-            expected_statuses=(200, GONE_STATUS),
-        )
-        resp = self._send(call)
+        resp = self._send(_watch_call(self._full_key(key), watched_revision))
         if resp.status == GONE_STATUS:
             # The store has dropped the history since then; read the current state.
             return self._start_watch(key, after)
@@ -232,6 +235,80 @@
             log.warning("event_left_out", key=key, error=str(exc))
             return None
 
+    def read_with(
+        self, key: str, prefix: str
+    ) -> tuple[StoredValue | StoredListing, ...]:
+        """Return the state of a key, and the names of the orders with a prefix."""
+        return self._list_operators_keys(key, prefix)
+
+    def watch_with(
+        self, key: str, prefix: str, after: int
+    ) -> tuple[StoredValue | StoredListing, ...]:
+        """Wait for changes to a key and to the orders with a prefix."""
+        watched_revision = self._watched_revisions.get(prefix, 0)
+        if not watched_revision:
+            return self._start_watch_with(key, prefix, after)
+        resp = self._send(_watch_call(OPERATORS_STORE_PREFIX, watched_revision))
+        if resp.status == GONE_STATUS:
+            return self._start_watch_with(key, prefix, after)
+        answer = _parse(resp, WatchAnswer)
+        changed = self._newest_event(key, answer.events)
+        items = list(_parse_items(answer.events, OrderItem))
+        revisions = [watched_revision, *(item.revision for item in items)]
+        self._watched_revisions[prefix] = answer.at_rev or max(revisions)
+        orders = tuple(
+            StoredValue(name, item.revision, None if item.tombstone else b"")
+            for item in items
+            if (name := _order_name(prefix, item))
+        )
+        return orders if changed is None else (changed, *orders)
+
+    def _start_watch_with(self, key, prefix, after):
+        stored, listing = self._list_operators_keys(key, prefix)
+        self._watched_revisions[prefix] = listing.version
+        return (stored, listing) if stored.version > after else (listing,)
+
+    def _list_operators_keys(self, key, prefix):
+        """Return a key's state and the names with a prefix, in one listing.
+
+        It is not read from an old copy, which could lack orders for seconds. The
+        revision is that of the first page: what changed since is listed or not, and
+        the events of a watch from there report it again.
+        """
+        stored, names = StoredValue(key, 0, None), []
+        revision = 0
+        for answer in self._range_pages(OPERATORS_STORE_PREFIX):
+            items = list(_parse_items(answer.items, OrderItem))
+            known = max((item.revision for item in items), default=0)
+            revision = revision or answer.at_rev or known
+            names += [name for item in items if (name := _order_name(prefix, item))]
+            changed = self._newest_event(key, answer.items)
+            stored = stored if changed is None else changed
+        # A watch from revision 0 would list the keys again at once.
+        return stored, StoredListing(prefix, max(revision, 1), tuple(names))
+
+    def _range_pages(self, path_prefix) -> Iterator[RangeAnswer]:
+        """Yield all pages of a listing.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            The listing does not end.
+        """
+        after = ""
+        for _ in range(MAX_PAGES):
+            fields = {"path_prefix": path_prefix}
+            if after:
+                fields["after"] = after
+            call = StoreCall("GET", "kv-range", fields)
+            answer = _parse(self._send(call), RangeAnswer)
+            yield answer
+            keys = [item.key for item in _parse_items(answer.items, OrderItem)]
+            if not answer.has_more:
+                return
+            after = max(keys, default=after)
+        raise PlatformUnavailableError(f"kv-range: more than {MAX_PAGES} pages")
+
     def swap(
         self, key: str, expected: int, value: bytes | None, lease: str = ""
     ) -> StoredValue:
@@ -363,6 +440,27 @@
         )
 
 
+def _watch_call(path_prefix, revision):
+    return StoreCall(
+        "GET",
+        "kv-watch",
+        {
+            "path_prefix": path_prefix,
+            "after": str(revision),
+            "wait_ms": str(WATCH_WAIT_MS),
+        },
+        wait_s=WATCH_WAIT_MS / 1000,
+        expected_statuses=(200, GONE_STATUS),
+    )
+
+
+def _order_name(prefix, item):
+    """Return the name of an order; empty for other keys."""
+    if not item.key.startswith(EVACUATION_STORE_PREFIX):
+        return ""
+    return prefix + item.key.removeprefix(EVACUATION_STORE_PREFIX)
+
+
 def _parse(resp, type_):
     try:
         return decode_json(resp.data, type_)
@@ -370,10 +468,10 @@
         raise PlatformUnavailableError(f"malformed response: {exc}") from exc
 
 
-def _parse_items(entries: Iterable[Raw]) -> Iterator[StoreItem]:
+def _parse_items(entries: Iterable[Raw], type_: type = StoreItem) -> Iterator:
     """Yield the readable items of a response; log the others."""
     for raw in entries:
         try:
-            yield decode_json(raw, StoreItem)
+            yield decode_json(raw, type_)
         except MalformedMessageError as exc:
             log.warning("item_left_out", error=str(exc))
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -76,7 +76,13 @@
 
 @frozen
 class PlatformSettings:
-    """Connection to the platform's key-value service."""
+    """Connection to the platform's key-value service.
+
+    Attributes
+    ----------
+    evacuation_ms : int
+        Time within which an evacuation takes effect; 0 where nobody evacuates.
+    """
 
     endpoints: tuple[Address, ...] = addresses_field()
     timeout_ms: int = int_field()
@@ -84,6 +90,7 @@
     max_watchers_per_data_centre: int = int_field()
     poll_floor_ms: int = int_field()
     prefix: str = string_field()
+    evacuation_ms: int = int_field(0)
 
 
 @frozen
--- a/src/monsoonmill/store/client.py
+++ b/src/monsoonmill/store/client.py
@@ -12,6 +12,7 @@
     PlatformRead,
     PlatformSwap,
     PlatformWatch,
+    StoredListing,
     StoredValue,
 )
 from monsoonmill.errors import PlatformError, PlatformUnavailableError
@@ -43,6 +44,27 @@
             Last version that the caller has seen; 0 if the key was absent.
         """
 
+    def read_with(
+        self, key: str, prefix: str
+    ) -> tuple[StoredValue | StoredListing, ...]:
+        """Return the state of a key, and the names of all keys with a prefix.
+
+        A service without operators' keys has no names to list.
+        """
+        return self.read(key), StoredListing(prefix, 0, ())
+
+    def watch_with(
+        self, key: str, prefix: str, after: int
+    ) -> tuple[StoredValue | StoredListing, ...]:
+        """Wait for changes to a key or to the keys with a prefix.
+
+        Returns their new states, or the names of all keys with the prefix if single
+        changes are not known, or nothing on a time-out. A service without operators'
+        keys has no changes to report.
+        """
+        stored = self.watch(key, after)
+        return () if stored is None else (stored,)
+
     @abstractmethod
     def swap(
         self, key: str, expected: int, value: bytes | None, lease: str = ""
@@ -148,10 +170,16 @@
         """Close the client's connections."""
         self._client.close()
 
-    def _read(self, req) -> Iterator[StoredValue]:
+    def _read(self, req) -> Iterator[StoredValue | StoredListing]:
+        if req.also:
+            yield from self._client.read_with(req.key, req.also)
+            return
         yield self._client.read(req.key)
 
-    def _watch(self, req) -> Iterator[StoredValue]:
+    def _watch(self, req) -> Iterator[StoredValue | StoredListing]:
+        if req.also:
+            yield from self._client.watch_with(req.key, req.also, req.after)
+            return
         stored = self._client.watch(req.key, req.after)
         if stored is not None:
             yield stored
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -266,6 +266,12 @@
     assert cfg.call.retry_ratio == pytest.approx(0.2)
 
 
+def test_evacuation_is_in_force_only_if_the_contract_has_a_bound_for_it(tmp_path):
+    cfg = read_settings(tmp_path, 'contract_params = {evacuation = "5000ms"}')
+    assert cfg.platform.evacuation_ms == 5000
+    assert read_settings(tmp_path).platform.evacuation_ms == 0
+
+
 def test_settings_without_contract_params_keep_the_shipped_values(tmp_path):
     cfg = read_settings(tmp_path)
     assert cfg.call.retry_ratio == pytest.approx(0.1)
