Evacuate data centres

EvacuationRegister keeps the newest known orders. Nodes that the store turns away learn them by gossip: each gossip message carries the version, a node requests newer orders, and sends its own to a sender with older ones.

Senders leave out the nodes of evacuated data centres for all classes. The node beside a server refuses what arrives there, and at once what waits, as not run (evacuated). The sender places such a call elsewhere without a retry, and excludes the whole data centre for it, since its nodes would use up the placements one by one. A node that does not know the orders yet runs nothing at its server. Running requests end as usual.

--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -30,6 +30,7 @@
     Reason.DRAINING: RetryReason.DRAINING,
     Reason.NO_BACKEND_SERVER: RetryReason.DRAINING,
     Reason.REGION_NOT_ALLOWED: RetryReason.REGION,
+    Reason.EVACUATED: RetryReason.EVACUATED,
     Reason.CONNECTION_LOST: RetryReason.CONNECTION_LOST,
     Reason.BROKEN_ANSWER: RetryReason.CONNECTION_LOST,
 }
@@ -43,6 +44,7 @@
         Reason.DRAINING,
         Reason.NO_BACKEND_SERVER,
         Reason.REGION_NOT_ALLOWED,
+        Reason.EVACUATED,
     )
 )
 """Reasons of refusals by a node, before its backend server received the call."""
@@ -210,6 +212,22 @@
         self.retries_left += min(max(left, 0), self.delegated_retries)
         self.delegated_retries = 0
 
+    def has_free_placement(self, placements: int) -> bool:
+        """Return whether the failed attempt may be placed elsewhere without a retry.
+
+        An evacuated data centre refuses a call only once, since all its nodes are
+        excluded then, so that this has no other limit.
+
+        Parameters
+        ----------
+        placements : int
+            Number of other refusals by nodes after which a call is placed elsewhere.
+        """
+        if not is_node_refusal(self.failure):
+            return False
+        is_evacuated = self.failure.reason is Reason.EVACUATED
+        return is_evacuated or self.placement_retries < placements
+
     # Guards.
     def requires_token(self, arg):
         """Return whether the call counts towards its organisation's rate limit."""
@@ -268,9 +286,8 @@
 
     def charge_retry(self, arg):
         """Charge a retry to the limit that applies to the last failure."""
-        is_free = self.placement_retries < self.controller.cfg.call.placements
-        if is_node_refusal(self.failure) and is_free:
-            self.placement_retries += 1
+        if self.has_free_placement(self.controller.cfg.call.placements):
+            self.placement_retries += self.failure.reason is not Reason.EVACUATED
         else:
             self.retries_left -= 1
             self.controller.retry_limiter.withdraw(self.route.service)
--- a/src/monsoonmill/decisions/calls/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -15,6 +15,7 @@
     CallController,
 )
 from monsoonmill.decisions.calls.contexts import Contexts
+from monsoonmill.decisions.calls.location_rules import LOCATION_RETRY_S
 from monsoonmill.decisions.calls.running_requests import RunningRequests
 from monsoonmill.decisions.calls.signals import CallArrived
 from monsoonmill.decisions.poison.poison import PoisonGuard
@@ -138,7 +139,9 @@
         """
         regions = self._authorization.allowed_regions(route.name, *organisations)
         if regions is not None and not regions:
-            raise CallRefusedError(Reason.NO_ALLOWED_REGION, route.name)
+            raise CallRefusedError(
+                Reason.NO_ALLOWED_REGION, route.name, LOCATION_RETRY_S
+            )
 
     def _fingerprint(self, arrival):
         req = arrival.request
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -19,7 +19,6 @@
     Call,
     CallController,
     DeferredEvent,
-    is_node_refusal,
     verify_body,
 )
 from monsoonmill.decisions.calls.call_checks import CallChecks
@@ -292,6 +291,8 @@
 
     def _handle_failure(self, call, now):
         call.excluded.add(call.node)
+        if call.failure.reason is Reason.EVACUATED:
+            call.excluded |= self._router.nodes_beside(call.node)
         call.lost_connections += call.failure.reason is Reason.CONNECTION_LOST
         call.may_have_run |= call.failure.outcome is not Outcome.NOT_RUN
         if call.may_have_run:
@@ -330,10 +331,7 @@
         failure = call.failure
         if failure.reason not in RETRY_COUNTERS:
             return RetryReason.NOT_IDEMPOTENT
-        if (
-            is_node_refusal(failure)
-            and call.placement_retries < self.cfg.call.placements
-        ):
+        if call.has_free_placement(self.cfg.call.placements):
             return None
         if failure.outcome is not Outcome.NOT_RUN and not call.route.idempotent:
             return RetryReason.NOT_IDEMPOTENT
--- a/src/monsoonmill/decisions/calls/execution.py
+++ b/src/monsoonmill/decisions/calls/execution.py
@@ -14,6 +14,7 @@
     SlotReleased,
 )
 from monsoonmill.decisions.calls.contexts import Contexts
+from monsoonmill.decisions.calls.location_rules import LOCATION_RETRY_S
 from monsoonmill.decisions.calls.running_requests import RunningRequests
 from monsoonmill.decisions.calls.signals import (
     AbortRun,
@@ -170,7 +171,7 @@
     def reply_permission_lapsed(self, reason: Reason):
         """Reply that the attempt must no longer run here, and never ran."""
         self.leave_queue(reason)
-        self._reply(Outcome.NOT_RUN, reason)
+        self._reply(Outcome.NOT_RUN, reason, None, LOCATION_RETRY_S)
 
     def reply_draining_in_queue(self, arg):
         """Reply that the node exits before the attempt ran."""
--- a/src/monsoonmill/decisions/calls/executions.py
+++ b/src/monsoonmill/decisions/calls/executions.py
@@ -13,10 +13,11 @@
     Execution,
     ExecutionController,
 )
-from monsoonmill.decisions.calls.location_rules import LocationRules
+from monsoonmill.decisions.calls.location_rules import LOCATION_RETRY_S, LocationRules
 from monsoonmill.decisions.calls.pause_detector import PauseDetector
 from monsoonmill.decisions.calls.running_requests import RunningRequests
 from monsoonmill.decisions.calls.signals import RunFailure, RunFinished
+from monsoonmill.decisions.configuration.signals import EvacuationsChanged
 from monsoonmill.decisions.decaying_ratio import DecayingRatio
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.poison.crash_counter import CrashCounter
@@ -94,6 +95,7 @@
             Admitted: self.on_admitted,
             NotAdmitted: self.on_not_admitted,
             RunFinished: self.on_run_finished,
+            EvacuationsChanged: self.on_evacuations_changed,
         }
 
     def load(self, now: float) -> Load:
@@ -178,7 +180,7 @@
             raise CallRefusedError(Reason.DRAINING)
         reason = self._location.find_refusal(forward)
         if reason is not None:
-            raise CallRefusedError(reason)
+            raise CallRefusedError(reason, retry_after_s=LOCATION_RETRY_S)
         if forward.at_most_once and self._pause_detector.may_be_stale(now):
             raise CallRefusedError(Reason.UNREACHABLE)
         if forward.key and self._authorization.is_withdrawn(forward.key):
@@ -220,6 +222,21 @@
         self.counters.add(signal.reason)
         yield from self._dispatch(signal.attempt, "not_admitted", now, signal)
 
+    def on_evacuations_changed(self, signal, now):
+        """Refuse all waiting attempts if the own data centre is evacuated now."""
+        if not self._location.is_evacuated:
+            return
+        waiting = [
+            attempt
+            for attempt, execution in self._executions.items()
+            if execution.chart.is_in("queued")
+        ]
+        for attempt in waiting:
+            self.counters.add(Reason.EVACUATED)
+            yield from self._dispatch(
+                attempt, "permission_lapsed", now, Reason.EVACUATED
+            )
+
     def on_run_finished(self, signal, now):
         """Reply with the result of a run."""
         execution = self._executions.get(signal.attempt)
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -13,6 +13,7 @@
 from monsoonmill.decisions.calls.location_rules import LocationRules
 from monsoonmill.decisions.calls.running_requests import RunningRequests
 from monsoonmill.decisions.configuration.configuration import ConfigRegister, ConfigView
+from monsoonmill.decisions.configuration.evacuation_register import EvacuationRegister
 from monsoonmill.decisions.decision import SignalBus
 from monsoonmill.decisions.lifecycle.backend_identity import BackendIdentity
 from monsoonmill.decisions.lifecycle.draining import Draining
@@ -72,12 +73,15 @@
         self.counters = counters or Counters()
         self.view = ConfigView()
         self.register = ConfigRegister(cfg, self.view, codec, rng)
+        self.evacuations = EvacuationRegister(cfg, self.view)
         self.members = Membership(cfg, own, self.view, rng)
         self.authorization = Authorization(self.view.config, rng)
         self.contexts = make_contexts(cfg, make_token)
         self.health = make_health(cfg, self.members, self.counters)
         self.poison = make_poison(cfg, self.members, self.counters)
-        self.router = Router(self.members, self.health, rng, make_placement(cfg))
+        self.router = Router(
+            self.members, self.health, rng, make_placement(cfg), self.view
+        )
         self.quota = make_quota(cfg, self.members, self.view, rng, self.counters)
         claims_rng = Random(f"{seed}/{node}/claims")
         self.claims = make_claims(cfg, self.members, codec, claims_rng, self.counters)
@@ -115,7 +119,7 @@
         )
         self.executions = Executions(
             self.authorization,
-            LocationRules(cfg, self.authorization),
+            LocationRules(cfg, self.authorization, self.view),
             self.admission,
             self.contexts,
             self.poison,
@@ -140,6 +144,7 @@
             node,
             (
                 self.register,
+                self.evacuations,
                 self.members,
                 self.authorization,
                 self.health,
--- a/src/monsoonmill/decisions/members/membership.py
+++ b/src/monsoonmill/decisions/members/membership.py
@@ -12,7 +12,10 @@
 from attrs import evolve
 
 from monsoonmill.decisions.configuration.configuration import ConfigView
-from monsoonmill.decisions.configuration.signals import ConfigChanged
+from monsoonmill.decisions.configuration.signals import (
+    ConfigChanged,
+    EvacuationsChanged,
+)
 from monsoonmill.decisions.members.entries import (
     describe_member,
     has_same_version,
@@ -79,7 +82,8 @@
             PeerUp: self.on_peer_up,
             MemberGossip: self.on_gossip,
             MemberListRequest: self.on_list_request,
-            ConfigChanged: self.on_config_changed,
+            ConfigChanged: self.on_version_changed,
+            EvacuationsChanged: self.on_version_changed,
         }
 
     def next_due(self):
@@ -223,7 +227,16 @@
         size = len(self._table.remotes) + 1
         names = [*about, *self._updates.take(size, excluded | set(about))]
         entries = tuple(member for name in names if (member := self.find(name)))
-        return MemberGossip(entries, self.view.config.revision, self.digest, answer)
+        return self._make_gossip(entries, answer=answer)
+
+    def _make_gossip(self, entries, **fields):
+        return MemberGossip(
+            entries,
+            self.view.config.revision,
+            self.digest,
+            evacuations=self.view.evacuations.version,
+            **fields,
+        )
 
     def on_gossip(self, signal: Received, now):
         """Merge the sender's entries, and reply if it asks for an answer."""
@@ -258,10 +271,7 @@
     def on_list_request(self, signal: Received, now):
         """Send the entries of the buckets whose digests differ."""
         entries = self._table.find_differing(signal.message.digests)
-        revision = self.view.config.revision
-        yield Send(
-            signal.node, MemberGossip(entries, revision, self.digest, is_list=True)
-        )
+        yield Send(signal.node, self._make_gossip(entries, is_list=True))
 
     def on_peer_up(self, signal, now):
         """Exchange entries with a node that was unknown or dead."""
@@ -272,8 +282,8 @@
             yield Send(signal.node, self.gossip(True, about))
         yield from self._record_contact(signal.node, now)
 
-    def on_config_changed(self, signal, now):
-        """Start a gossip round immediately, which announces the new revision."""
+    def on_version_changed(self, signal, now):
+        """Start a gossip round immediately, which announces the new version."""
         yield from self._gossip_round(now)
 
     # Merging.
@@ -315,8 +325,7 @@
         return is_live(remote.member) and now - remote.last_contact_at < timeout_s
 
     def _report_suspicion(self, member):
-        revision = self.view.config.revision
-        return Send(member.node, MemberGossip((member,), revision, self.digest))
+        return Send(member.node, self._make_gossip((member,)))
 
     def _refute(self, member):
         """Raise the local node's version above that of an entry that supersedes it."""
--- a/src/monsoonmill/decisions/routing/router.py
+++ b/src/monsoonmill/decisions/routing/router.py
@@ -10,7 +10,11 @@
 
 from attrs import define
 
-from monsoonmill.decisions.configuration.signals import ConfigChanged
+from monsoonmill.decisions.configuration.configuration import ConfigView
+from monsoonmill.decisions.configuration.signals import (
+    ConfigChanged,
+    EvacuationsChanged,
+)
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.health.health import Health
 from monsoonmill.decisions.members.membership import Membership
@@ -131,7 +135,9 @@
         health: Health,
         rng: Random,
         placement: PlacementPolicy,
+        view: ConfigView | None = None,
     ):
+        self._view = view or ConfigView()
         self._members = members
         self.rng = rng
         self._health = health
@@ -148,7 +154,8 @@
     def handlers(self):
         """Return the handlers of this decision."""
         return {
-            ConfigChanged: self.on_config_changed,
+            ConfigChanged: self.on_rules_changed,
+            EvacuationsChanged: self.on_rules_changed,
             MembersChanged: self.on_members_changed,
             PeerDown: self.on_peer_down,
         }
@@ -161,8 +168,8 @@
             del self._targets[node]
         return ()
 
-    def on_config_changed(self, signal, now):
-        """Discard the indexed candidates, since the allowed regions may differ."""
+    def on_rules_changed(self, signal, now):
+        """Discard the candidates that were indexed under other rules."""
         self._by_service.clear()
         return ()
 
@@ -230,6 +237,12 @@
         """Return whether any node in the regions serves a service."""
         return bool(self._candidates(service, regions))
 
+    def nodes_beside(self, node: str) -> set[str]:
+        """Return the names of the nodes in the data centre of a node."""
+        members = list(self._members.members())
+        data_centres = {each.data_centre for each in members if each.node == node}
+        return {each.node for each in members if each.data_centre in data_centres}
+
     def _admits(self, member, importance, now):
         if self.target(member.node).would_admit(importance, now):
             return True
@@ -252,6 +265,7 @@
             for member in self._members.members()
             if member.service == service
             and member.accepts_calls
+            and member.data_centre not in self._view.evacuated
             and (regions is None or member.region in regions)
         ]
         alive = [member for member in serving if member.state is MemberState.ALIVE]
--- a/src/monsoonmill/node/decision_log.py
+++ b/src/monsoonmill/node/decision_log.py
@@ -5,7 +5,10 @@
 from monsoonmill.clock import Clock
 from monsoonmill.counters import LatencyHistogram
 from monsoonmill.decisions.calls.signals import CallReport, RunReport
-from monsoonmill.decisions.configuration.signals import ConfigAdopted
+from monsoonmill.decisions.configuration.signals import (
+    ConfigAdopted,
+    EvacuationsAdopted,
+)
 from monsoonmill.decisions.members.signals import MemberChanged
 from monsoonmill.decisions.quota.signals import SlicesChanged
 from monsoonmill.eventlog import LogRateLimiter, get_logger, request_log
@@ -43,6 +46,7 @@
             CallReport: self._log_call,
             RunReport: self._log_run,
             ConfigAdopted: self._log_config,
+            EvacuationsAdopted: self._log_evacuations,
             MemberChanged: self._log_member,
             SlicesChanged: self._log_slices,
         }
@@ -88,6 +92,16 @@
     def _log_config(self, adopted):
         log.info("config_adopted", revision=adopted.revision, source=adopted.source)
 
+    def _log_evacuations(self, adopted):
+        era, revision = adopted.version
+        log.info(
+            "evacuations_adopted",
+            data_centres=adopted.data_centres,
+            era=era,
+            revision=revision,
+            source=adopted.source,
+        )
+
     def _log_member(self, changed):
         member = changed.member
         request_log.write(
--- a/src/monsoonmill/reasons.py
+++ b/src/monsoonmill/reasons.py
@@ -32,7 +32,8 @@
 
     ``NO_ALLOWED_REGION``: no region is left in which the call may run, or none of them
     has a backend server. ``REGION_NOT_ALLOWED``: the call may not run in the region of
-    the node that received the attempt.
+    the node that received the attempt. ``EVACUATED``: operators have ordered
+    to evacuate the data centre of that node.
     """
 
     BAD_REQUEST = "bad-request"
@@ -51,6 +52,7 @@
     NO_BACKEND_SERVER = "no-backend-server"
     NO_ALLOWED_REGION = "no-allowed-region"
     REGION_NOT_ALLOWED = "region-not-allowed"
+    EVACUATED = "evacuated"
     UNREACHABLE = "unreachable"
     CONNECTION_LOST = "connection-lost"
     BROKEN_ANSWER = "broken-answer"
@@ -81,6 +83,7 @@
     SHED = "retry-shed"
     DRAINING = "retry-draining"
     REGION = "retry-region"
+    EVACUATED = "retry-evacuated"
     CONNECTION_LOST = "retry-connection-lost"
     BUDGET_SPENT = "no-retry-budget-spent"
     RATIO_SPENT = "no-retry-ratio-spent"
@@ -106,6 +109,7 @@
     Reason.NO_BACKEND_SERVER: 503,
     Reason.NO_ALLOWED_REGION: 503,
     Reason.REGION_NOT_ALLOWED: 503,
+    Reason.EVACUATED: 503,
     Reason.UNREACHABLE: 503,
     Reason.CONNECTION_LOST: 502,
     Reason.BROKEN_ANSWER: 502,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -34,6 +34,7 @@
     PlatformWatch,
     Received,
     Send,
+    StoredListing,
     StoredValue,
 )
 from monsoonmill.errors import PlatformError, PlatformUnavailableError
@@ -61,6 +62,19 @@
         self.drops_answers = False
         self.delay_s = LATENCY_S
         self.calls = 0
+        self.revision = 1
+        self.listed: dict[object, tuple] = {}
+
+    def order(self, name, value, now):
+        """Write an operator's key, or delete it if ``value`` is None."""
+        self.revision += 1
+        version = self.store.read(name, now).version
+        self.store.swap(name, version, value, "", now)
+
+    def list_names(self, prefix, now):
+        """Return a listing of the keys with a prefix."""
+        names = tuple(entry.key for entry in self.store.list_keys(prefix, now))
+        return StoredListing(prefix, self.revision, names)
 
     def execute(self, signal, now):
         """Execute a request and return its result as a signal."""
@@ -76,6 +90,8 @@
         values = tuple(
             StoredValue(entry.key, entry.version, entry.value) for entry in entries
         )
+        if getattr(signal, "also", ""):
+            values += (self.list_names(signal.also, now),)
         return PlatformDone(signal.request, values, now)
 
     def refuse(self, signal):
@@ -356,7 +372,12 @@
         else:
             result = self.platform.execute(signal, self.now)
         if is_watch and isinstance(result, PlatformDone):
-            if result.values[0].version <= signal.after:
+            listing = result.values[1:]
+            is_listed = self.platform.listed.get(node) == listing
+            self.platform.listed[node] = listing
+            if listing and not is_listed:
+                pass
+            elif result.values[0].version <= signal.after:
                 if wait_s > 0:
                     self.platform.calls -= 1
                     self.schedule(
