--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -29,6 +29,8 @@
     Reason.BACKEND_SERVER_SHED: RetryReason.SHED,
     Reason.DRAINING: RetryReason.DRAINING,
     Reason.NO_BACKEND_SERVER: RetryReason.DRAINING,
+    Reason.REGION_NOT_ALLOWED: RetryReason.REGION,
+    Reason.EVACUATED: RetryReason.EVACUATED,
     Reason.CONNECTION_LOST: RetryReason.CONNECTION_LOST,
     Reason.BROKEN_ANSWER: RetryReason.CONNECTION_LOST,
 }
@@ -41,6 +43,8 @@
         Reason.QUEUE_FULL,
         Reason.DRAINING,
         Reason.NO_BACKEND_SERVER,
+        Reason.REGION_NOT_ALLOWED,
+        Reason.EVACUATED,
     )
 )
 """Reasons of refusals by a node, before its backend server received the call."""
@@ -139,6 +143,9 @@
         last attempt was sent.
     may_have_run : bool
         Whether any attempt so far may have run.
+    root_organisation : str
+        Organisation of the call above this one, if its allowed regions bind this call
+        too; empty for none.
     token_organisation : str
         Organisation that gets its token back if the call never runs; empty if
         the call holds no token.
@@ -152,6 +159,7 @@
     controller: CallController
     arrived_at: float
     parent: str = ""
+    root_organisation: str = ""
     retries_left: int = 0
     delegated_retries: int = 0
     attempt: str = ""
@@ -204,6 +212,22 @@
         self.retries_left += min(max(left, 0), self.delegated_retries)
         self.delegated_retries = 0
 
+    def has_free_placement(self, placements: int) -> bool:
+        """Return whether the failed attempt may be placed elsewhere without a retry.
+
+        An evacuated data centre refuses a call only once, since all its nodes are
+        excluded then, so that this has no other limit.
+
+        Parameters
+        ----------
+        placements : int
+            Number of other refusals by nodes after which a call is placed elsewhere.
+        """
+        if not is_node_refusal(self.failure):
+            return False
+        is_evacuated = self.failure.reason is Reason.EVACUATED
+        return is_evacuated or self.placement_retries < placements
+
     # Guards.
     def requires_token(self, arg):
         """Return whether the call counts towards its organisation's rate limit."""
@@ -262,9 +286,8 @@
 
     def charge_retry(self, arg):
         """Charge a retry to the limit that applies to the last failure."""
-        is_free = self.placement_retries < self.controller.cfg.call.placements
-        if is_node_refusal(self.failure) and is_free:
-            self.placement_retries += 1
+        if self.has_free_placement(self.controller.cfg.call.placements):
+            self.placement_retries += self.failure.reason is not Reason.EVACUATED
         else:
             self.retries_left -= 1
             self.controller.retry_limiter.withdraw(self.route.service)
--- a/src/monsoonmill/decisions/calls/executions.py
+++ b/src/monsoonmill/decisions/calls/executions.py
@@ -13,9 +13,11 @@
     Execution,
     ExecutionController,
 )
+from monsoonmill.decisions.calls.location_rules import LOCATION_RETRY_S, LocationRules
 from monsoonmill.decisions.calls.pause_detector import PauseDetector
 from monsoonmill.decisions.calls.running_requests import RunningRequests
 from monsoonmill.decisions.calls.signals import RunFailure, RunFinished
+from monsoonmill.decisions.configuration.signals import EvacuationsChanged
 from monsoonmill.decisions.decaying_ratio import DecayingRatio
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.poison.crash_counter import CrashCounter
@@ -52,6 +54,7 @@
     def __init__(
         self,
         authorization: Authorization,
+        location: LocationRules,
         admission: Admission,
         contexts: Contexts,
         poison: PoisonGuard,
@@ -72,6 +75,7 @@
         self.instance = ""
         self.draining = False
         self._authorization = authorization
+        self._location = location
         self._poison = poison
         self._crashes = CrashCounter()
         self._service = ""
@@ -91,6 +95,7 @@
             Admitted: self.on_admitted,
             NotAdmitted: self.on_not_admitted,
             RunFinished: self.on_run_finished,
+            EvacuationsChanged: self.on_evacuations_changed,
         }
 
     def load(self, now: float) -> Load:
@@ -173,6 +178,9 @@
             raise CallRefusedError(Reason.NO_BACKEND_SERVER)
         if self.draining or self._backend_draining:
             raise CallRefusedError(Reason.DRAINING)
+        reason = self._location.find_refusal(forward)
+        if reason is not None:
+            raise CallRefusedError(reason, retry_after_s=LOCATION_RETRY_S)
         if forward.at_most_once and self._pause_detector.may_be_stale(now):
             raise CallRefusedError(Reason.UNREACHABLE)
         if forward.key and self._authorization.is_withdrawn(forward.key):
@@ -188,26 +196,47 @@
             yield from self._dispatch(signal.message.attempt, "cancelled", now)
 
     def on_admitted(self, signal, now):
-        """Run an attempt that has a slot, unless its deadline or API key has lapsed."""
+        """Run an attempt that has a slot, unless what it needs has lapsed meanwhile.
+
+        That is its deadline, its API key, or its permission to run at this location.
+        """
         execution = self._executions.get(signal.attempt)
         if execution is not None:
-            event = self._event_on_admission(execution, now)
-            yield from self._dispatch(signal.attempt, event, now)
+            event, reason = self._event_on_admission(execution, now)
+            if reason is not None:
+                self.counters.add(reason)
+            yield from self._dispatch(signal.attempt, event, now, reason)
 
     def _event_on_admission(self, execution, now):
+        """Return the event for the chart, and the reason if it is a refusal."""
         if now >= execution.deadline:
-            return "timed_out"
+            return "timed_out", None
         key = execution.forward.key
         if key and self._authorization.is_withdrawn(key):
-            self.counters.add(Reason.KEY_WITHDRAWN)
-            return "key_withdrawn"
-        return "admitted"
+            return "permission_lapsed", Reason.KEY_WITHDRAWN
+        reason = self._location.find_refusal(execution.forward)
+        return ("admitted" if reason is None else "permission_lapsed"), reason
 
     def on_not_admitted(self, signal, now):
         """Refuse an attempt that is not admitted."""
         self.counters.add(signal.reason)
         yield from self._dispatch(signal.attempt, "not_admitted", now, signal)
 
+    def on_evacuations_changed(self, signal, now):
+        """Refuse all waiting attempts if the own data centre is evacuated now."""
+        if not self._location.is_evacuated:
+            return
+        waiting = [
+            attempt
+            for attempt, execution in self._executions.items()
+            if execution.chart.is_in("queued")
+        ]
+        for attempt in waiting:
+            self.counters.add(Reason.EVACUATED)
+            yield from self._dispatch(
+                attempt, "permission_lapsed", now, Reason.EVACUATED
+            )
+
     def on_run_finished(self, signal, now):
         """Reply with the result of a run."""
         execution = self._executions.get(signal.attempt)
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -166,6 +166,9 @@
         Request id given by the caller; empty if there is none.
     rank : int
         Rank of the call's chain among those of the same importance.
+    root_organisation : str
+        Organisation of the call above this one, if its allowed regions bind this call
+        too; empty for none.
     """
 
     attempt: str
@@ -182,6 +185,7 @@
     key: str = ""
     request_id: str = ""
     rank: int = 0
+    root_organisation: str = ""
 
 
 @frozen
@@ -244,6 +248,8 @@
     is_list : bool
         Whether this is the response to a ``MemberListRequest``, whose entries
         may be old.
+    evacuations : tuple of int
+        Version of the sender's evacuation orders; 0 if it knows none.
     """
 
     members: tuple[Member, ...]
@@ -251,6 +257,7 @@
     members_digest: int = 0
     answer: bool = False
     is_list: bool = False
+    evacuations: int = 0
 
 
 @frozen
@@ -332,6 +339,29 @@
     withdrawn_count: int = 0
 
 
+@frozen
+class EvacuationsRequest:
+    """Requests the evacuation orders if they are newer than the sender's."""
+
+    version: int
+
+
+@frozen
+class EvacuationsReply:
+    """Contains the evacuation orders.
+
+    Attributes
+    ----------
+    version : tuple of int
+        Era and revision of the store up to which all orders are included.
+    data_centres : tuple of str
+        Names of the evacuated data centres.
+    """
+
+    version: int
+    data_centres: tuple[str, ...] = ()
+
+
 @frozen
 class SuspectReport:
     """Reports the requests that a backend server was executing when it crashed.
@@ -396,6 +426,8 @@
     ConfigRequest,
     ConfigReply,
     ConfigDelta,
+    EvacuationsRequest,
+    EvacuationsReply,
     TokenRequest,
     TokenGrant,
     TokenReturn,
