Limit the requests that reach a cold backend server

A server that has just started, or that says in a heartbeat that it is cold, was sent as many requests as it has slots. All requests are counted while the server is warm too, so that those of the last second count when a heartbeat makes it cold. Requests that the server rejects as misdirected, or that did not reach it, do not count. What would wait for longer than 0.1 s is refused as not run with reason shed and counted as cold-refused.

A limit at the senders was ruled out: they do not know of each other's requests. A shorter cold time than an earlier heartbeat's is believed only after the time that a start takes, since heartbeats may be wrong in either direction.

--- a/src/monsoonmill/decisions/admission/fair_queue.py
+++ b/src/monsoonmill/decisions/admission/fair_queue.py
@@ -146,6 +146,17 @@
             self._classes[call.importance].remove(call)
         return call
 
+    def evict(self) -> QueuedCall | None:
+        """Remove and return an attempt of the lowest class, from the longest queue."""
+        for queue in self._classes.values():
+            if queue.waiting:
+                return self.remove(queue.newest_of_longest().attempt)
+        return None
+
+    def attempts(self) -> list[str]:
+        """Return the attempts that wait."""
+        return list(self._calls)
+
     def pop(self, lowest: Importance) -> QueuedCall | None:
         """Remove and return the next attempt of at least a given importance."""
         for importance in reversed(Importance):
--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -2,8 +2,10 @@
 
 from attrs import define, frozen
 
+from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission.admission import Admission
 from monsoonmill.decisions.admission.admission_level import AdmissionLevel
+from monsoonmill.decisions.admission.cold_limit import MAX_WAIT_S, ColdLimit
 from monsoonmill.decisions.admission.concurrency_limit import (
     AdaptiveLimit,
     ConcurrencyLimit,
@@ -15,10 +17,12 @@
 from monsoonmill.decisions.admission.signals import Admitted, NotAdmitted, SlotReleased
 from monsoonmill.decisions.admission.silent_runs import SilentRuns
 from monsoonmill.decisions.admission.slots_limit import SlotsLimit
+from monsoonmill.decisions.configuration.signals import ConfigChanged
 from monsoonmill.decisions.signals import BackendAnnounced
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.eventlog import get_logger
 from monsoonmill.messages import Load
+from monsoonmill.model import Config
 from monsoonmill.reasons import Importance, Reason
 from monsoonmill.settings import AdmissionSettings
 
@@ -35,6 +39,12 @@
 )
 """Classes that may use the whole concurrency limit."""
 
+COLD_REFUSED = "cold-refused"
+COLD_TIMER = "cold"
+"""Timer of the next request to a cold server, and of the end of the cold time."""
+LATENCY_WEIGHT = 0.05
+"""Weight of one run in the mean latency, as of one sample of a route's latency."""
+
 log = get_logger("admission")
 
 
@@ -91,6 +101,26 @@
         )
 
 
+@define
+class MeanLatency:
+    """Mean time of recent runs, over all routes.
+
+    Attributes
+    ----------
+    mean_s : float
+        Moving average in seconds; 0 if it is not known.
+    """
+
+    mean_s: float = 0.0
+    samples: int = 0
+
+    def record(self, latency_s: float) -> None:
+        """Record the latency of an answered run."""
+        self.samples += 1
+        weight = max(LATENCY_WEIGHT, 1 / self.samples)
+        self.mean_s += weight * (latency_s - self.mean_s)
+
+
 class QueuedAdmission(Admission):
     """Assigns slots up to a limit and queues further attempts by priority.
 
@@ -98,9 +128,21 @@
     shorter than its route's recent latency, or when it has waited for too long.
     """
 
-    def __init__(self, cfg: AdmissionSettings, limit: ConcurrencyLimit):
+    def __init__(
+        self,
+        cfg: AdmissionSettings,
+        limit: ConcurrencyLimit,
+        counters: Counters | None = None,
+    ):
         self._cfg = cfg
         self._limit = limit
+        self._counters = counters or Counters()
+        self._cold = ColdLimit.from_settings(cfg)
+        self._config = Config()
+        self._service = ""
+        self._process: tuple[str, int] | None = None
+        self._latency = MeanLatency()
+        self._handled_at = float("-inf")
         self._queue = FairQueue(cfg.queue_length)
         self._level = AdmissionLevel()
         self._running: dict[str, RunningCall] = {}
@@ -112,32 +154,84 @@
         self._timers = Timers()
 
     @classmethod
-    def adaptive(cls, cfg: AdmissionSettings) -> "QueuedAdmission":
+    def adaptive(
+        cls, cfg: AdmissionSettings, counters: Counters | None = None
+    ) -> "QueuedAdmission":
         """Return an admission whose limit follows the measured delay."""
-        return cls(cfg, AdaptiveLimit(cfg))
+        return cls(cfg, AdaptiveLimit(cfg), counters)
 
     @classmethod
-    def with_announced_slots(cls, cfg: AdmissionSettings) -> "QueuedAdmission":
+    def with_announced_slots(
+        cls, cfg: AdmissionSettings, counters: Counters | None = None
+    ) -> "QueuedAdmission":
         """Return an admission whose limit is the number of announced slots."""
-        return cls(cfg, SlotsLimit(cfg.initial_limit))
+        return cls(cfg, SlotsLimit(cfg.initial_limit), counters)
 
     @classmethod
-    def fixed(cls, cfg: AdmissionSettings) -> "QueuedAdmission":
+    def fixed(
+        cls, cfg: AdmissionSettings, counters: Counters | None = None
+    ) -> "QueuedAdmission":
         """Return an admission whose limit stays at its initial value."""
-        return cls(cfg, FixedLimit(cfg.initial_limit))
+        return cls(cfg, FixedLimit(cfg.initial_limit), counters)
 
     def handlers(self):
         """Return the handlers of this decision."""
-        own_handlers = {BackendAnnounced: self.on_backend_announced}
+        own_handlers = {
+            BackendAnnounced: self.on_backend_announced,
+            ConfigChanged: self.on_config_changed,
+        }
         return {**super().handlers(), **own_handlers}
 
+    def start(self, now):
+        """Record the start of the node."""
+        self._cold.start(now)
+        return ()
+
     def on_backend_announced(self, signal: BackendAnnounced, now: float):
-        """Pass the announced number of slots to the limit."""
+        """Pass the announced slots, start and cold time to the limits."""
+        process = (signal.instance, signal.started_ms)
+        if process != self._process:
+            self._latency = MeanLatency()
+        self._process = process
+        self._service = signal.service
         self._limit.set_announced_slots(signal.slots)
+        begins = self._configure(now)
+        begins |= self._cold.record_announcement(signal, now)
+        if begins:
+            yield from self._begin_cold(now)
         yield from self._admit_waiting(now)
 
+    def on_config_changed(self, signal: ConfigChanged, now: float):
+        """Use the rate of cold servers in the new configuration."""
+        self._config = signal.new
+        if self._configure(now):
+            yield from self._begin_cold(now)
+        yield from self._admit_waiting(now)
+
+    def _configure(self, now):
+        """Use the server's service as configured; return whether the limit begins."""
+        return self._cold.configure(self._config.services.get(self._service), now)
+
+    def _begin_cold(self, now):
+        """Refuse the attempts that would wait for too long, now that it is cold."""
+        log.info(
+            "backend_server_cold",
+            service=self._service,
+            cold_ms=round((self._cold.cold_until - now) * 1000),
+            waiting=len(self._queue),
+        )
+        for attempt in self._queue.attempts():
+            self._timers.set_no_later(attempt, now + MAX_WAIT_S)
+        yield from self._shorten_queue(now)
+
+    def _shorten_queue(self, now):
+        """Refuse the attempts that a cold server cannot take soon."""
+        while len(self._queue) > self._cold.max_waiting:
+            yield self._refuse(self._queue.evict(), Reason.SHED, now)
+
     def on_admit_call(self, signal, now):
         """Admit, queue or refuse an attempt."""
+        self._handled_at = now
         call = QueuedCall(
             signal.attempt,
             signal.route,
@@ -160,12 +254,16 @@
             self._timers.set(call.attempt, self._expiry(call, now))
         if refused is not None:
             yield self._refuse(refused, Reason.QUEUE_FULL, now)
+        if self._cold.is_cold(now):
+            yield from self._shorten_queue(now)
         yield from self._admit_waiting(now)
 
     def on_cancel_admission(self, signal, now):
         """Remove an attempt from the queue, or free its slot."""
         self._timers.cancel(signal.attempt)
         if self._queue.remove(signal.attempt) is None:
+            # An attempt that had a slot was not sent.
+            self._cold.record_not_counted(signal.attempt, now)
             self._release(signal.attempt)
         yield from self._admit_waiting(now)
 
@@ -183,6 +281,10 @@
                 _run_result(signal),
             )
             self._limit.record_run(sample, now)
+            if sample.result is RunResult.ANSWERED:
+                self._latency.record(signal.latency_s)
+        if signal.misdirected or signal.not_sent:
+            self._cold.record_not_counted(signal.attempt, now)
         if run is not None and signal.shed:
             self._withhold(signal, run.route, now)
         yield from self._admit_waiting(now)
@@ -225,6 +327,8 @@
     def tick(self, now):
         """Refuse expired attempts and free the slots that are due."""
         for key in self._timers.pop_due(now):
+            if key is COLD_TIMER:
+                continue
             if isinstance(key, WithheldSlot):
                 self._withheld.discard(key)
                 continue
@@ -236,15 +340,29 @@
         yield from self._admit_waiting(now)
 
     def load(self):
-        """Return the load to report to other nodes."""
+        """Return the load to report to other nodes.
+
+        While the server is cold, the limit is the number of requests that it has at
+        the rate it accepts.
+        """
+        limit = self._limit.limit
+        if self._cold.is_cold(self._handled_at):
+            limit = min(limit, self._cold.concurrency(self._latency.mean_s))
         return Load(
             running=len(self._running),
             waiting=len(self._queue),
-            limit=max(self._limit.limit, 1),
+            limit=max(limit, 1),
             level=self._level.level,
+            latency_ms=round(self._latency.mean_s * 1000, 1),
         )
 
     def _admit_waiting(self, now):
+        self._handled_at = now
+        yield from self._serve_queue(now)
+        if self._queue and not self._cold.may_send(now):
+            self._timers.set(COLD_TIMER, self._cold.next_send(now))
+
+    def _serve_queue(self, now):
         self._update_queue_empty_at(now)
         while self._queue:
             lowest = self._lowest_admissible(now)
@@ -272,6 +390,8 @@
         )
 
     def _has_slot(self, importance, now):
+        if not self._cold.may_send(now):
+            return False
         limit = self._limit.limit
         if len(self._running) + len(self._withheld) >= limit:
             return False
@@ -288,6 +408,7 @@
         )
         self._background_running += call.importance is Importance.BACKGROUND
         self._silent_runs.add(call.attempt, call.route, now)
+        self._cold.record_sent(call.attempt, now)
         self._queue.charge(call)
         self._level.record_admitted(call.importance, now)
         return Admitted(call.attempt)
@@ -302,6 +423,8 @@
     def _refuse(self, call, reason, now):
         self._timers.cancel(call.attempt)
         if reason is not Reason.DEADLINE:
+            if self._cold.is_cold(now):
+                self._counters.add(COLD_REFUSED)
             self._level.record_refused(call.importance, now)
         return NotAdmitted(call.attempt, reason, RETRY_AFTER_S)
 
@@ -321,6 +444,8 @@
         call, so that even admitted calls miss their deadlines.
         """
         queue_s = self._cfg.queue_ms / 1000
+        if self._cold.is_cold(now):
+            queue_s = min(queue_s, MAX_WAIT_S)
         is_standing = now - self._queue_empty_at > queue_s
         if is_standing and importance is not Importance.CRITICAL:
             return queue_s * STANDING_QUEUE_SHARE
@@ -343,6 +468,8 @@
             "waiting": load.waiting,
             "silent": len(self._silent_runs),
             "level": load.level.name.lower(),
+            "latency_ms": load.latency_ms,
+            **self._cold.status(self._handled_at),
         }
 
 
--- a/src/monsoonmill/decisions/admission/signals.py
+++ b/src/monsoonmill/decisions/admission/signals.py
@@ -55,6 +55,12 @@
         Whether it ended in an error, which makes its latency meaningless.
     not_run : bool
         Whether the backend server reported that it was full and ran nothing.
+    misdirected : bool
+        Whether the backend server rejected it as meant for another server.
+    not_sent : bool
+        Whether the backend server could not be reached.
+    lost : bool
+        Whether it was sent, and there was no response or an invalid one.
     """
 
     attempt: str
@@ -63,3 +69,6 @@
     timed_out: bool
     failed: bool = False
     not_run: bool = False
+    misdirected: bool = False
+    not_sent: bool = False
+    lost: bool = False
--- a/src/monsoonmill/decisions/calls/execution.py
+++ b/src/monsoonmill/decisions/calls/execution.py
@@ -29,10 +29,16 @@
 from monsoonmill.reasons import Importance, Outcome, Reason
 
 SHED_STATUS = 503
+MISDIRECTED_STATUS = 421
 ERROR_STATUS = 500
 ABORT_GRACE_S = 5.0
 """The slot of an aborted run is released if the run does not end within this time."""
 
+LOST_RUNS = frozenset(
+    (RunFailure.TIMED_OUT, RunFailure.CONNECTION_LOST, RunFailure.BROKEN_ANSWER)
+)
+"""Runs that may have failed because the backend server had stopped."""
+
 FAILURE_REASONS = {
     RunFailure.NOT_SENT: (Outcome.NOT_RUN, Reason.UNREACHABLE),
     RunFailure.TIMED_OUT: (Outcome.UNKNOWN, Reason.DEADLINE),
@@ -212,6 +218,10 @@
                 timed_out=is_cut_off,
                 failed=response is None or response.status >= ERROR_STATUS,
                 not_run=finished.not_run,
+                misdirected=response is not None
+                and response.status == MISDIRECTED_STATUS,
+                not_sent=failure is RunFailure.NOT_SENT,
+                lost=failure in LOST_RUNS,
             )
         )
 
--- a/src/monsoonmill/decisions/calls/executions.py
+++ b/src/monsoonmill/decisions/calls/executions.py
@@ -104,6 +104,8 @@
             self.amplification.factor,
             round(self.nested_overload.value(now), 3),
             round(self._lost_answer_ratio.value(now), 3),
+            load.threshold,
+            load.latency_ms,
         )
 
     @property
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -80,7 +80,7 @@
         self.quota = make_quota(cfg, self.members, self.view, rng, self.counters)
         claims_rng = Random(f"{seed}/{node}/claims")
         self.claims = make_claims(cfg, self.members, codec, claims_rng, self.counters)
-        self.admission = make_admission(cfg)
+        self.admission = make_admission(cfg, self.counters)
         amplification, nested_overload, running_requests = (
             CallAmplification(),
             NestedOverload(),
--- a/src/monsoonmill/decisions/lifecycle/backend_identity.py
+++ b/src/monsoonmill/decisions/lifecycle/backend_identity.py
@@ -29,7 +29,13 @@
 
 @define
 class BackendProcess:
-    """The newest known process of the backend server."""
+    """The newest known process of the backend server.
+
+    Attributes
+    ----------
+    age_ms : int or None
+        Time from its start to its last heartbeat, if both times are known.
+    """
 
     instance: str
     started_ms: int
@@ -38,6 +44,8 @@
     address: Address
     slots: int
     leaves: bool
+    cold_left_ms: float = 0.0
+    age_ms: int | None = None
 
 
 @frozen
@@ -93,6 +101,8 @@
             signal.address,
             signal.slots,
             leaves,
+            signal.cold_left_ms,
+            _age_ms(signal),
         )
         self._log_if_changed(process)
         self._current = process
@@ -142,6 +152,9 @@
             current.slots,
             current.leaves,
             current.instance,
+            current.started_ms,
+            current.age_ms,
+            current.cold_left_ms,
         )
 
     def _record_leaving(self, instance, started_ms):
@@ -169,3 +182,10 @@
         if self._current is None:
             return {}
         return {"instance": self._current.instance, "leaves": self._current.leaves}
+
+
+def _age_ms(heartbeat):
+    """Return the age of a heartbeat's process; None if it is not known."""
+    if not heartbeat.started_ms or not heartbeat.received_ms:
+        return None
+    return max(heartbeat.received_ms - heartbeat.started_ms, 0)
--- a/src/monsoonmill/decisions/lifecycle/signals.py
+++ b/src/monsoonmill/decisions/lifecycle/signals.py
@@ -19,6 +19,10 @@
         Number that grows with each heartbeat of a process.
     leaves : bool
         Whether it drains or is about to end without draining.
+    cold_left_ms : float
+        Time for which it says that it is cold.
+    received_ms : int
+        Time of day of this host in Unix milliseconds; 0 if it is not known.
     """
 
     instance: str
@@ -28,6 +32,8 @@
     address: Address
     slots: int
     leaves: bool = False
+    cold_left_ms: float = 0.0
+    received_ms: int = 0
 
 
 @frozen
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -88,15 +88,15 @@
     return NoClaims()
 
 
-def make_admission(cfg: Settings) -> Admission:
+def make_admission(cfg: Settings, counters: Counters | None = None) -> Admission:
     """Return the decision that grants slots."""
     if cfg.policy.admission == "all":
         return AdmitAll()
     if cfg.policy.admission == "slots":
-        return QueuedAdmission.with_announced_slots(cfg.admission)
+        return QueuedAdmission.with_announced_slots(cfg.admission, counters)
     if cfg.policy.admission == "fixed":
-        return QueuedAdmission.fixed(cfg.admission)
-    return QueuedAdmission.adaptive(cfg.admission)
+        return QueuedAdmission.fixed(cfg.admission, counters)
+    return QueuedAdmission.adaptive(cfg.admission, counters)
 
 
 def make_placement(cfg: Settings) -> PlacementPolicy:
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -68,13 +68,27 @@
 
 @frozen
 class BackendAnnounced:
-    """The backend server announced itself, for the first time or again."""
+    """The backend server announced itself, for the first time or again.
+
+    Attributes
+    ----------
+    started_ms : int
+        Start time of its process in Unix milliseconds, by its own clock.
+    age_ms : int or None
+        Time since the start of its process, as far as the clocks agree; None if it
+        is not known.
+    cold_left_ms : float
+        Time for which it says that it is cold.
+    """
 
     service: str
     address: Address
     slots: int
     draining: bool = False
     instance: str = ""
+    started_ms: int = 0
+    age_ms: int | None = None
+    cold_left_ms: float = 0.0
 
 
 @frozen
--- a/src/monsoonmill/platform/heartbeats.py
+++ b/src/monsoonmill/platform/heartbeats.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from typing import Annotated, Literal
 
-from attrs import frozen
-from msgspec import Meta
+from attrs import evolve, frozen
+from msgspec import Meta, Raw
 
 from monsoonmill.clock import Clock
 from monsoonmill.decisions.calls.signals import Answer
@@ -15,6 +15,7 @@
 from monsoonmill.http1.server import WebApp
 from monsoonmill.model import Address, HttpRequest, HttpResponse
 from monsoonmill.outside_data import Name, NonNegativeInt, decode_json
+from monsoonmill.platform.durations import parse_ms
 from monsoonmill.settings_fields import parse_address
 
 INSTANCES_PATH = "/monsoonmill/instances/"
@@ -42,10 +43,14 @@
     ----------
     sequence : int
         Increases with each heartbeat of one start of the backend server.
+    cold_left : Raw
+        Duration for which the backend server stays cold. It is decoded separately,
+        since the rest of the heartbeat is used even if it is malformed.
     """
 
     state: Literal["ready", "draining"]
     sequence: NonNegativeInt
+    cold_left: Raw = Raw(b"null")
 
 
 @frozen
@@ -72,7 +77,7 @@
     address : Address
         Address on which the backend server of this host listens.
     clock : Clock
-        Gives the time of day of deregistrations.
+        Gives the time of day of heartbeats and deregistrations.
     """
 
     def __init__(self, address: Address, clock: Clock):
@@ -110,7 +115,7 @@
         heartbeat = parse_heartbeat(instance, body)
         if heartbeat.address.port != self._address.port:
             raise MalformedMessageError("not the address of this host's server")
-        return heartbeat
+        return evolve(heartbeat, received_ms=self._clock.unix_ms())
 
 
 def _parse_path(req):
@@ -143,4 +148,17 @@
         address,
         doc.info.slots,
         doc.status.state == DRAINING,
+        _parse_cold_left_ms(instance, doc.status.cold_left),
     )
+
+
+def _parse_cold_left_ms(instance, raw):
+    """Return for how long a backend server is cold; 0 if that cannot be read."""
+    try:
+        text = decode_json(raw, str | None)
+        return 0.0 if text is None else parse_ms(text)
+    except MalformedMessageError as exc:
+        log.warning(
+            "field_replaced", error=f"cold_left of {instance}: {exc}", value="0"
+        )
+        return 0.0
--- a/src/monsoonmill/platform/settings.py
+++ b/src/monsoonmill/platform/settings.py
@@ -159,6 +159,14 @@
     if "quota_window" in params:
         window_ms = parse_ms(params["quota_window"])
         overlay["quota"] = {**overlay["quota"], "window_ms": int(window_ms)}
+    # Bound on the requests that reach a cold backend server in a second.
+    cold = {
+        name: float(params[name])
+        for name in ("cold_excess", "cold_slack")
+        if name in params
+    }
+    if cold:
+        overlay["admission"] = {**overlay["admission"], **cold}
     if "config_apply" in params:
         ramp_ms = RAMP_FRACTION * parse_ms(params["config_apply"])
         overlay["quota"] = {**overlay["quota"], "ramp_ms": int(ramp_ms)}
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -142,6 +142,8 @@
     background_share: float = fraction_field()
     readmits: int = int_field(0)
     silent_after_ms: int = int_field(0)
+    cold_excess: float = float_field()
+    cold_slack: float = float_field()
 
 
 @frozen
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -108,6 +108,14 @@
     assert heartbeat == BackendHeartbeat("i-1", 5, 2, "s", ADDRESS, 4)
 
 
+@pytest.mark.parametrize(
+    ("value", "ms"), [("1500ms", 1500), ("", 0), (5, 0), ("soon", 0), (None, 0)]
+)
+def test_cold_time_of_a_heartbeat_is_read_and_odd_ones_do_not_refuse_it(value, ms):
+    doc = {**HEARTBEAT, "status": {**HEARTBEAT["status"], "cold_left": value}}
+    assert parse_heartbeat("i-1", dumps(doc).encode()).cold_left_ms == ms
+
+
 @pytest.mark.parametrize(
     ("section", "key", "value"),
     [
@@ -266,6 +274,12 @@
     assert cfg.call.retry_ratio == pytest.approx(0.2)
 
 
+def test_bound_for_cold_servers_is_read(tmp_path):
+    params = "contract_params = {cold_excess = 1.5, cold_slack = 8}"
+    admission = read_settings(tmp_path, params).admission
+    assert (admission.cold_excess, admission.cold_slack) == (1.5, 8.0)
+
+
 def test_settings_without_contract_params_keep_the_shipped_values(tmp_path):
     cfg = read_settings(tmp_path)
     assert cfg.call.retry_ratio == pytest.approx(0.1)
