Ramp up a backend server that has just started or recovered

A server that returned was sent calls for all its slots at once. The limit on concurrent calls now starts at a tenth of the slots, grows while responses are as fast as this server's usual ones, and shrinks when it sheds or responds more slowly than with fewer calls. A latency that a smaller limit did not reduce is accepted, so that a server that is slow for another reason still gets all its slots. A ramp begins with a new process, a stated cold time, a refused connection, or the first response after lost runs; the responses alone end it. It limits calls only where objectives are mixed or a rate for cold servers is configured, and is counted as pace-limited.

The adaptive limit was ruled out for this: its baseline never rises, so a cold server would count as congested until it is warm.

--- a/src/monsoonmill/decisions/admission/concurrency_limit.py
+++ b/src/monsoonmill/decisions/admission/concurrency_limit.py
@@ -130,8 +130,29 @@
     ratio: float
 
 
+@unique
+class ServerEvent(Enum):
+    """What may precede slow responses of a backend server.
+
+    ``COLD`` is what a heartbeat says; ``LOST_RUN`` is a run without a response.
+    """
+
+    STARTED = "started"
+    COLD = "turned_cold"
+    REFUSED_CONNECTION = "refused"
+    LOST_RUN = "lost"
+
+
 class ConcurrencyLimit(ABC):
-    """Determines how many calls may be at the backend server."""
+    """Determines how many calls may be at the backend server.
+
+    Attributes
+    ----------
+    paces_starts : bool
+        Whether the limit may be lowered after a start or a recovery.
+    """
+
+    paces_starts = False
 
     @property
     @abstractmethod
@@ -154,6 +175,15 @@
     def recent_latency_s(self, route: str, now: float) -> float:
         """Return a route's current latency; 0 if it is unknown."""
 
+    @property
+    def is_reduced(self) -> bool:
+        """Whether the limit is low since the server has just started or recovered."""
+        return False
+
+    def record_event(self, event: ServerEvent, now: float) -> bool:
+        """Record a change of the server; return whether the limit is lowered."""
+        return False
+
     def status(self) -> dict:
         """Return the state shown to operators."""
         return {"limit": self.limit}
--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -12,8 +12,10 @@
     FixedLimit,
     RunResult,
     RunSample,
+    ServerEvent,
 )
 from monsoonmill.decisions.admission.fair_queue import FairQueue, QueuedCall
+from monsoonmill.decisions.admission.server_pace import PacedLimit
 from monsoonmill.decisions.admission.signals import Admitted, NotAdmitted, SlotReleased
 from monsoonmill.decisions.admission.silent_runs import SilentRuns
 from monsoonmill.decisions.admission.slots_limit import SlotsLimit
@@ -40,6 +42,7 @@
 """Classes that may use the whole concurrency limit."""
 
 COLD_REFUSED = "cold-refused"
+PACE_LIMITED = "pace-limited"
 COLD_TIMER = "cold"
 """Timer of the next request to a cold server, and of the end of the cold time."""
 LATENCY_WEIGHT = 0.05
@@ -139,8 +142,10 @@
         self._counters = counters or Counters()
         self._cold = ColdLimit.from_settings(cfg)
         self._config = Config()
+        self._has_mixed_objectives = False
         self._service = ""
         self._process: tuple[str, int] | None = None
+        self._says_cold = False
         self._latency = MeanLatency()
         self._handled_at = float("-inf")
         self._queue = FairQueue(cfg.queue_length)
@@ -164,8 +169,12 @@
     def with_announced_slots(
         cls, cfg: AdmissionSettings, counters: Counters | None = None
     ) -> "QueuedAdmission":
-        """Return an admission whose limit is the number of announced slots."""
-        return cls(cfg, SlotsLimit(cfg.initial_limit), counters)
+        """Return an admission whose limit is the number of announced slots.
+
+        The limit is lower after a start or a recovery, where the configuration
+        requires that.
+        """
+        return cls(cfg, PacedLimit(SlotsLimit(cfg.initial_limit)), counters)
 
     @classmethod
     def fixed(
@@ -190,27 +199,36 @@
     def on_backend_announced(self, signal: BackendAnnounced, now: float):
         """Pass the announced slots, start and cold time to the limits."""
         process = (signal.instance, signal.started_ms)
-        if process != self._process:
-            self._latency = MeanLatency()
-        self._process = process
         self._service = signal.service
         self._limit.set_announced_slots(signal.slots)
         begins = self._configure(now)
         begins |= self._cold.record_announcement(signal, now)
+        if process != self._process:
+            self._latency = MeanLatency()
+            self._limit.record_event(ServerEvent.STARTED, now)
+        elif signal.cold_left_ms > 0 and not self._says_cold:
+            self._limit.record_event(ServerEvent.COLD, now)
+        self._process = process
+        self._says_cold = signal.cold_left_ms > 0
         if begins:
             yield from self._begin_cold(now)
         yield from self._admit_waiting(now)
 
     def on_config_changed(self, signal: ConfigChanged, now: float):
-        """Use the rate of cold servers in the new configuration."""
+        """Use the cold limit and the pace as the new configuration requires."""
         self._config = signal.new
+        self._has_mixed_objectives = signal.new.has_mixed_objectives
         if self._configure(now):
             yield from self._begin_cold(now)
         yield from self._admit_waiting(now)
 
     def _configure(self, now):
         """Use the server's service as configured; return whether the limit begins."""
-        return self._cold.configure(self._config.services.get(self._service), now)
+        begins = self._cold.configure(self._config.services.get(self._service), now)
+        self._limit.paces_starts = (
+            self._has_mixed_objectives or self._cold.is_configured
+        )
+        return begins
 
     def _begin_cold(self, now):
         """Refuse the attempts that would wait for too long, now that it is cold."""
@@ -248,6 +266,8 @@
             return
         if len(self._running) + len(self._withheld) >= self._limit.limit:
             self._limit.record_full()
+            if self._limit.is_reduced:
+                self._counters.add(PACE_LIMITED)
         self._update_queue_empty_at(now)
         refused = self._queue.offer(call)
         if refused is not call:
@@ -283,6 +303,10 @@
             self._limit.record_run(sample, now)
             if sample.result is RunResult.ANSWERED:
                 self._latency.record(signal.latency_s)
+        if signal.not_sent:
+            self._limit.record_event(ServerEvent.REFUSED_CONNECTION, now)
+        elif signal.lost:
+            self._limit.record_event(ServerEvent.LOST_RUN, now)
         if signal.misdirected or signal.not_sent:
             self._cold.record_not_counted(signal.attempt, now)
         if run is not None and signal.shed:
