Place calls by the expected time to a response where objectives are mixed

Calls were placed by occupied slots alone, so that a server at half the speed got as many as one at three times its pace, and senders with old reports all chose the few servers that seemed to have free slots. Where the configuration mixes objectives, the better of two random nodes of the nearest group with capacity is now chosen, by the mean time of its recent runs, the work ahead and the distance. Own attempts count in addition to the last report. 5 % of the calls ignore the estimates, so that every server is measured.

Another region is used when the expected time here is longer by more than the round trip, and once in a chain: Forward.has_crossed says so, and nested calls inherit it by request id, as they do importance.

The placement by data centre is otherwise unchanged.

--- a/src/monsoonmill/decisions/admission/server_pace.py
+++ b/src/monsoonmill/decisions/admission/server_pace.py
@@ -243,6 +243,10 @@
         """Return whether the next step reaches the limit outside of a ramp."""
         return self._limit * self._factor(ended.window) >= self._inner.limit
 
+    def stays_below_slots(self, ended: EndedRampWindow):
+        """Return whether the ramp goes on after the next step."""
+        return not self.reaches_slots(ended)
+
     def _factor(self, window):
         """Return the growth after a window."""
         if window.ratio > USUAL_RATIO:
--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -110,6 +110,8 @@
     ----------
     parent : str
         Context token of the parent call; empty for a call from outside.
+    has_crossed : bool
+        Whether its chain had left a region before this call.
     retries_left : int
         Retries that this call may still make itself.
     delegated_retries : int
@@ -152,6 +154,7 @@
     controller: CallController
     arrived_at: float
     parent: str = ""
+    has_crossed: bool = False
     retries_left: int = 0
     delegated_retries: int = 0
     attempt: str = ""
--- a/src/monsoonmill/decisions/calls/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -88,6 +88,8 @@
             controller,
             now,
             parent=arrival.context,
+            has_crossed=not caller.key
+            and self._running_requests.has_crossed(arrival.parent_id),
             retries_left=self._retry_budget(arrival, route),
         )
 
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -199,7 +199,11 @@
             call.outbox.append(DeferredEvent("no_backend_server", Reason.KEY_WITHDRAWN))
             return
         node = self._router.choose(
-            service, call.context.importance, frozenset(call.excluded), call.now
+            service,
+            call.context.importance,
+            frozenset(call.excluded),
+            call.now,
+            call.has_crossed,
         )
         if node is None:
             is_served = self._router.has_backend_server(service)
@@ -233,6 +237,8 @@
             fingerprint=call.fingerprint,
             key=call.caller.key,
             request_id=call.arrival.request_id,
+            has_crossed=call.has_crossed
+            or not self._router.is_in_own_region(call.node),
         )
 
     def on_reply(self, signal, now):
--- a/src/monsoonmill/decisions/calls/execution.py
+++ b/src/monsoonmill/decisions/calls/execution.py
@@ -137,7 +137,9 @@
         self.controller.amplification.record_run()
         self.controller.nested_overload.record_run(self.now)
         forward = self.forward
-        self.controller.running_requests.add(forward.request_id, forward.importance)
+        self.controller.running_requests.add(
+            forward.request_id, forward.importance, forward.has_crossed
+        )
         context = CallContext(
             forward.organisation,
             forward.importance,
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -27,11 +27,8 @@
 from monsoonmill.decisions.poison.guard import FleetPoisonGuard
 from monsoonmill.decisions.poison.poison import NoPoison, PoisonGuard
 from monsoonmill.decisions.quota.quota import Quota, UnlimitedQuota
-from monsoonmill.decisions.routing.router import (
-    NearestPlacement,
-    PlacementPolicy,
-    RegionPlacement,
-)
+from monsoonmill.decisions.routing.pace_placement import ObjectivesPlacement
+from monsoonmill.decisions.routing.router import PlacementPolicy, RegionPlacement
 from monsoonmill.settings import Settings
 
 BOUNDED_QUOTAS = {
@@ -102,7 +99,7 @@
 def make_placement(cfg: Settings) -> PlacementPolicy:
     """Return the policy that chooses among the nodes that would admit a call."""
     if cfg.policy.placing == "data-centre":
-        return NearestPlacement()
+        return ObjectivesPlacement()
     return RegionPlacement()
 
 
--- a/src/monsoonmill/decisions/routing/router.py
+++ b/src/monsoonmill/decisions/routing/router.py
@@ -10,13 +10,14 @@
 
 from attrs import define
 
+from monsoonmill.decisions.configuration.signals import ConfigChanged
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.health.health import Health
 from monsoonmill.decisions.members.membership import Membership
 from monsoonmill.decisions.members.signals import MembersChanged
 from monsoonmill.decisions.signals import PeerDown
 from monsoonmill.messages import Load
-from monsoonmill.model import Member, MemberState
+from monsoonmill.model import Config, Member, MemberState
 from monsoonmill.reasons import Importance
 
 REPORTED_LOAD_TTL_S = 0.5
@@ -24,6 +25,13 @@
 SHED_PROBE_RATIO = 0.05
 """Share of calls sent to a node although its last reply says it would shed them."""
 
+LATENCY_TTL_S = 2.0
+"""A reported latency is used for this long; slow periods of a server that are caused
+by others on its machine last for under a second."""
+UNKNOWN_SHARE = 0.1
+"""Share of the announced slots that is used at a server until a reply has reported its
+limit: the share with which a server that has just started begins."""
+
 MAX_PREFERRED_LOAD = 0.9
 """A node with at most this many calls per slot is preferred to nodes farther away."""
 CROSS_REGION_PENALTY = 0.5
@@ -32,11 +40,18 @@
 
 @define
 class Target:
-    """Load of a node, as known here."""
+    """Load of a node, as known here.
+
+    Attributes
+    ----------
+    outstanding_at_load : int
+        Attempts that were outstanding when the load was reported.
+    """
 
     outstanding: int = 0
     load: Load = Load()
     load_at: float = float("-inf")
+    outstanding_at_load: int = 0
 
     def calls_per_slot(self, now: float, slots: int) -> float:
         """Return the number of calls for each slot, one more call included.
@@ -53,6 +68,30 @@
             reported = self.load.running + self.load.waiting
         return (max(self.outstanding, reported) + 1) / max(limit, 1)
 
+    def capacity(self, slots: int) -> float:
+        """Return how many calls may run at once, a part of the slots until a reply."""
+        if self.load_at == float("-inf"):
+            return max(UNKNOWN_SHARE * slots, 1)
+        return max(self.load.limit, 1)
+
+    def work_ahead(self, now: float) -> int:
+        """Return the number of calls ahead of the next one.
+
+        Attempts that were sent since the last report count in addition to it.
+        """
+        ahead = self.outstanding
+        if now - self.load_at < REPORTED_LOAD_TTL_S:
+            reported = self.load.running + self.load.waiting
+            since = self.outstanding - self.outstanding_at_load
+            ahead = max(ahead, reported + max(since, 0))
+        return ahead
+
+    def latency_s(self, now: float) -> float:
+        """Return the mean time of recent runs in seconds; 0 if it is not known."""
+        if now - self.load_at >= LATENCY_TTL_S:
+            return 0.0
+        return self.load.latency_ms / 1000
+
     def would_admit(self, importance: Importance, now: float) -> bool:
         """Return whether a call would be admitted, by the level of the last reply."""
         return (
@@ -61,7 +100,19 @@
 
 
 class PlacementPolicy(ABC):
-    """Chooses among the nodes that would admit a call."""
+    """Chooses among the nodes that would admit a call.
+
+    Attributes
+    ----------
+    crosses_once : bool
+        Whether a chain that has left its region once is kept where it is.
+    """
+
+    crosses_once = False
+
+    def in_force(self, config: Config) -> "PlacementPolicy":
+        """Return the policy to use with a configuration."""
+        return self
 
     @abstractmethod
     def pick(self, members: list[Member], router: "Router", now: float) -> str | None:
@@ -131,6 +182,7 @@
         self._members = members
         self.rng = rng
         self._health = health
+        self._variants = placement
         self._placement = placement
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Member]] = {}
@@ -146,8 +198,14 @@
         return {
             MembersChanged: self.on_members_changed,
             PeerDown: self.on_peer_down,
+            ConfigChanged: self.on_config_changed,
         }
 
+    def on_config_changed(self, signal, now):
+        """Use the policy that the new configuration requires."""
+        self._placement = self._variants.in_force(signal.new)
+        return ()
+
     def on_members_changed(self, signal, now):
         """Discard the indexed candidates, and the load of nodes that are not live."""
         self._by_service.clear()
@@ -182,12 +240,29 @@
         if load is not None:
             target.load = load
             target.load_at = now
+            target.outstanding_at_load = target.outstanding
 
     def choose(
-        self, service: str, importance: Importance, excluded: frozenset, now: float
+        self,
+        service: str,
+        importance: Importance,
+        excluded: frozenset,
+        now: float,
+        has_crossed: bool = False,
     ) -> str | None:
-        """Return the node for an attempt, or None if there is none."""
+        """Return the node for an attempt, or None if there is none.
+
+        Parameters
+        ----------
+        has_crossed : bool
+            Whether the call's chain has already left a region. It may do so again
+            only if there is no backend server in this one.
+        """
         candidates = self._candidates(service)
+        if has_crossed and self._placement.crosses_once:
+            region = self.own.region
+            local = [member for member in candidates if member.region == region]
+            candidates = local or candidates
         usable = [
             member
             for member in candidates
@@ -201,6 +276,11 @@
         ]
         return self._placement.pick(admitting, self, now)
 
+    def is_in_own_region(self, node: str) -> bool:
+        """Return whether a node is in the own region, as far as it is known."""
+        member = self._members.find(node)
+        return member is None or member.region == self.own.region
+
     def has_backend_server(self, service: str) -> bool:
         """Return whether any node has a backend server of the service."""
         return bool(self._candidates(service))
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -166,6 +166,8 @@
         Request id given by the caller; empty if there is none.
     rank : int
         Rank of the call's chain among those of the same importance.
+    has_crossed : bool
+        Whether the call's chain has left a region.
     """
 
     attempt: str
@@ -182,6 +184,7 @@
     key: str = ""
     request_id: str = ""
     rank: int = 0
+    has_crossed: bool = False
 
 
 @frozen
--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -1,10 +1,17 @@
 """Bound on the requests that reach a cold backend server."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from monsoonmill.decisions.admission.cold_limit import ColdLimit
+from monsoonmill.decisions.calls.execution import Execution
+from monsoonmill.decisions.calls.running_requests import RunningRequests
+from monsoonmill.decisions.calls.signals import RunFailure, RunFinished
 from monsoonmill.decisions.signals import BackendAnnounced
-from monsoonmill.reasons import Reason
+from monsoonmill.messages import Forward
+from monsoonmill.model import HttpRequest, HttpResponse
+from monsoonmill.reasons import Importance, Reason
 from tests.admission_driver import ADDRESS, AdmissionDriver, make_config
 
 PER_S = 50
@@ -94,3 +101,33 @@
     other.at(4.0, lambda: other.configure(CONFIG))
     other.run(9.0)
     assert 0 < other.most_in_a_second(4.0, 9.0) <= BOUND
+
+
+@pytest.mark.parametrize(
+    ("finished", "names"),
+    [
+        (RunFinished("a", HttpResponse(421), None, True), {"misdirected"}),
+        (RunFinished("a", HttpResponse(503), None, True), set()),
+        (RunFinished("a", None, RunFailure.NOT_SENT), {"not_sent"}),
+        (RunFinished("a", None, RunFailure.CONNECTION_LOST), {"lost"}),
+    ],
+)
+def test_released_slot_tells_what_reached_the_server(finished, names):
+    request = HttpRequest("GET", "/")
+    forward = Forward("a", "s", "r", request, "o", Importance.NORMAL, *[0] * 5)
+    controller = SimpleNamespace(running_requests=RunningRequests())
+    execution = Execution("n", forward, 9.0, controller)
+    execution.release_slot(finished)
+    (released,) = execution.outbox
+    flags = ("misdirected", "not_sent", "lost")
+    assert {name for name in flags if getattr(released, name)} == names
+
+
+def test_nested_calls_inherit_that_their_chain_has_left_a_region():
+    running = RunningRequests()
+    running.add("parent", Importance.NORMAL, True)
+    running.add("other", Importance.NORMAL)
+    assert running.has_crossed("parent")
+    assert not running.has_crossed("other")
+    running.remove("parent")
+    assert not running.has_crossed("parent")
