--- a/src/monsoonmill/decisions/admission/cold_limit.py
+++ b/src/monsoonmill/decisions/admission/cold_limit.py
@@ -208,7 +208,8 @@
     def _begins(self, was_cold, now):
         begins = self.is_cold(now) and not was_cold
         if begins:
-            self._spread_from = now
+            # An earlier process of this node may have sent requests before.
+            self._spread_from = max(now, self._node_started_at + WINDOW_S + BURST_S)
         return begins
 
     def may_send(self, now: float) -> bool:
