--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -114,6 +114,8 @@
     ----------
     parent : str
         Context token of the parent call; empty for a call from outside.
+    has_crossed : bool
+        Whether its chain had left a region before this call.
     retries_left : int
         Retries that this call may still make itself.
     delegated_retries : int
@@ -160,6 +162,7 @@
     arrived_at: float
     parent: str = ""
     root_organisation: str = ""
+    has_crossed: bool = False
     retries_left: int = 0
     delegated_retries: int = 0
     attempt: str = ""
--- a/src/monsoonmill/decisions/calls/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -74,7 +74,8 @@
         resolve = self._resolve_nested_call if is_nested else self._resolve_root_call
         route, caller, context = resolve(arrival, now)
         self._check_drain(context.deadline)
-        root_organisation = self._root_organisation(arrival, caller)
+        parent = self._find_parent(arrival, caller)
+        root_organisation = self._root_organisation(parent)
         self._check_regions(route, context.organisation, root_organisation)
         fingerprint = self._fingerprint(arrival)
         if context.deadline <= now:
@@ -92,6 +93,7 @@
             now,
             parent=arrival.context,
             root_organisation=root_organisation,
+            has_crossed=parent is not None and parent.has_crossed,
             retries_left=self._retry_budget(arrival, route),
         )
 
@@ -121,13 +123,18 @@
         if ends_at is not None and deadline > ends_at - DRAIN_MARGIN_S:
             raise CallRefusedError(Reason.DRAINING, retry_after_s=DRAINING_RETRY_S)
 
-    def _root_organisation(self, arrival, caller):
-        """Return the organisation of a running parent whose regions are limited."""
+    def _find_parent(self, arrival, caller):
+        """Return the running request that may have made a call; None if unknown."""
         if caller.key or not arrival.parent_id:
+            return None
+        return self._running_requests.find(arrival.parent_id)
+
+    def _root_organisation(self, parent):
+        """Return the organisation of a running parent whose regions are limited."""
+        if parent is None:
             return ""
-        organisation = self._running_requests.organisation(arrival.parent_id)
-        limits_regions = self._authorization.has_region_limit(organisation)
-        return organisation if limits_regions else ""
+        limits_regions = self._authorization.has_region_limit(parent.organisation)
+        return parent.organisation if limits_regions else ""
 
     def _check_regions(self, route, *organisations):
         """Refuse a call that may not be served anywhere.
@@ -176,9 +183,8 @@
 
     def _importance(self, arrival, route, caller):
         importance = self._authorization.importance(route, caller)
-        if caller.key or not arrival.parent_id:
-            return importance
-        return self._running_requests.inherit_importance(importance, arrival.parent_id)
+        parent = self._find_parent(arrival, caller)
+        return importance if parent is None else max(importance, parent.importance)
 
     def _nested_context(self, arrival, route, context, now):
         deadline = context.deadline
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -206,6 +206,7 @@
             frozenset(call.excluded),
             call.now,
             regions,
+            call.has_crossed,
         )
         if node is None:
             reason = self._placement_refusal(service, regions)
@@ -247,6 +248,8 @@
             key=call.caller.key,
             request_id=call.arrival.request_id,
             root_organisation=call.root_organisation,
+            has_crossed=call.has_crossed
+            or not self._router.is_in_own_region(call.node),
         )
 
     def on_reply(self, signal, now):
--- a/src/monsoonmill/decisions/calls/running_requests.py
+++ b/src/monsoonmill/decisions/calls/running_requests.py
@@ -1,46 +1,47 @@
-"""Importance and organisation of the requests that run at the own backend server.
+"""What nested calls inherit from the requests that run at the own backend server.
 
-A nested call without a context inherits the importance of its parent, and is bound by
-the allowed regions of its parent's organisation, if its parent id names a request that
-runs here.
+A nested call without a context names its parent by an id. If that request runs here,
+the nested call inherits its importance and rank, is bound by the allowed regions of its
+organisation, and knows whether the chain has left a region.
 """
 
+from attrs import frozen
+
 from monsoonmill.reasons import Importance
 
 
+@frozen
+class RunningRequest:
+    """What nested calls need to know of the request that makes them.
+
+    Attributes
+    ----------
+    organisation : str
+        Organisation whose allowed regions bind the chain; empty if unknown.
+    has_crossed : bool
+        Whether the chain has left a region.
+    """
+
+    importance: Importance
+    organisation: str = ""
+    has_crossed: bool = False
+
+
 class RunningRequests:
-    """Maps the ids of the running requests to their importance and organisation."""
+    """The running requests by their ids."""
 
     def __init__(self):
-        self._importances: dict[str, Importance] = {}
-        self._organisations: dict[str, str] = {}
+        self._requests: dict[str, RunningRequest] = {}
 
-    def add(
-        self, request_id: str, importance: Importance, organisation: str = ""
-    ) -> None:
+    def add(self, request_id: str, request: RunningRequest) -> None:
         """Record that a request runs."""
         if request_id:
-            self._importances[request_id] = importance
-            self._organisations[request_id] = organisation
+            self._requests[request_id] = request
 
     def remove(self, request_id: str) -> None:
         """Record that a request has ended."""
-        self._importances.pop(request_id, None)
-        self._organisations.pop(request_id, None)
-
-    def inherit_importance(self, own: Importance, parent_id: str) -> Importance:
-        """Return the importance of a nested call.
-
-        Parameters
-        ----------
-        own : Importance
-            Importance that the call's route declares.
-        parent_id : str
-            Id of the request that may have made the call; an unknown id has no
-            effect.
-        """
-        return max(own, self._importances.get(parent_id, own))
-
-    def organisation(self, parent_id: str) -> str:
-        """Return the organisation of a running request; empty if it is not known."""
-        return self._organisations.get(parent_id, "")
+        self._requests.pop(request_id, None)
+
+    def find(self, parent_id: str) -> RunningRequest | None:
+        """Return the request that may have made a nested call; None if unknown."""
+        return self._requests.get(parent_id)
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -27,11 +27,8 @@
 from monsoonmill.decisions.poison.guard import FleetPoisonGuard
 from monsoonmill.decisions.poison.poison import NoPoison, PoisonGuard
 from monsoonmill.decisions.quota.quota import Quota, UnlimitedQuota
-from monsoonmill.decisions.routing.router import (
-    NearestPlacement,
-    PlacementPolicy,
-    RegionPlacement,
-)
+from monsoonmill.decisions.routing.pace_placement import ObjectivesPlacement
+from monsoonmill.decisions.routing.router import PlacementPolicy, RegionPlacement
 from monsoonmill.settings import Settings
 
 BOUNDED_QUOTAS = {
@@ -88,21 +85,21 @@
     return NoClaims()
 
 
-def make_admission(cfg: Settings) -> Admission:
+def make_admission(cfg: Settings, counters: Counters | None = None) -> Admission:
     """Return the decision that grants slots."""
     if cfg.policy.admission == "all":
         return AdmitAll()
     if cfg.policy.admission == "slots":
-        return QueuedAdmission.with_announced_slots(cfg.admission)
+        return QueuedAdmission.with_announced_slots(cfg.admission, counters)
     if cfg.policy.admission == "fixed":
-        return QueuedAdmission.fixed(cfg.admission)
-    return QueuedAdmission.adaptive(cfg.admission)
+        return QueuedAdmission.fixed(cfg.admission, counters)
+    return QueuedAdmission.adaptive(cfg.admission, counters)
 
 
 def make_placement(cfg: Settings) -> PlacementPolicy:
     """Return the policy that chooses among the nodes that would admit a call."""
     if cfg.policy.placing == "data-centre":
-        return NearestPlacement()
+        return ObjectivesPlacement()
     return RegionPlacement()
 
 
--- a/src/monsoonmill/decisions/routing/router.py
+++ b/src/monsoonmill/decisions/routing/router.py
@@ -21,7 +21,7 @@
 from monsoonmill.decisions.members.signals import MembersChanged
 from monsoonmill.decisions.signals import PeerDown
 from monsoonmill.messages import Load
-from monsoonmill.model import Member, MemberState
+from monsoonmill.model import Config, Member, MemberState
 from monsoonmill.reasons import Importance
 
 REPORTED_LOAD_TTL_S = 0.5
@@ -32,6 +32,13 @@
 MAX_INDEXED = 1024
 """Combinations of service and allowed regions whose candidates are kept. A fleet has
 tens of services, and a few sets of regions for each."""
+LATENCY_TTL_S = 2.0
+"""A reported latency is used for this long; slow periods of a server that are caused
+by others on its machine last for under a second."""
+UNKNOWN_SHARE = 0.1
+"""Share of the announced slots that is used at a server until a reply has reported its
+limit: the share with which a server that has just started begins."""
+
 MAX_PREFERRED_LOAD = 0.9
 """A node with at most this many calls per slot is preferred to nodes farther away."""
 CROSS_REGION_PENALTY = 0.5
@@ -40,11 +47,18 @@
 
 @define
 class Target:
-    """Load of a node, as known here."""
+    """Load of a node, as known here.
+
+    Attributes
+    ----------
+    outstanding_at_load : int
+        Attempts that were outstanding when the load was reported.
+    """
 
     outstanding: int = 0
     load: Load = Load()
     load_at: float = float("-inf")
+    outstanding_at_load: int = 0
 
     def calls_per_slot(self, now: float, slots: int) -> float:
         """Return the number of calls for each slot, one more call included.
@@ -61,6 +75,30 @@
             reported = self.load.running + self.load.waiting
         return (max(self.outstanding, reported) + 1) / max(limit, 1)
 
+    def capacity(self, slots: int) -> float:
+        """Return how many calls may run at once, a part of the slots until a reply."""
+        if self.load_at == float("-inf"):
+            return max(UNKNOWN_SHARE * slots, 1)
+        return max(self.load.limit, 1)
+
+    def work_ahead(self, now: float) -> int:
+        """Return the number of calls ahead of the next one.
+
+        Attempts that were sent since the last report count in addition to it.
+        """
+        ahead = self.outstanding
+        if now - self.load_at < REPORTED_LOAD_TTL_S:
+            reported = self.load.running + self.load.waiting
+            since = self.outstanding - self.outstanding_at_load
+            ahead = max(ahead, reported + max(since, 0))
+        return ahead
+
+    def latency_s(self, now: float) -> float:
+        """Return the mean time of recent runs in seconds; 0 if it is not known."""
+        if now - self.load_at >= LATENCY_TTL_S:
+            return 0.0
+        return self.load.latency_ms / 1000
+
     def would_admit(self, importance: Importance, now: float) -> bool:
         """Return whether a call would be admitted, by the level of the last reply."""
         return (
@@ -69,7 +107,19 @@
 
 
 class PlacementPolicy(ABC):
-    """Chooses among the nodes that would admit a call."""
+    """Chooses among the nodes that would admit a call.
+
+    Attributes
+    ----------
+    crosses_once : bool
+        Whether a chain that has left its region once is kept where it is.
+    """
+
+    crosses_once = False
+
+    def in_force(self, config: Config) -> "PlacementPolicy":
+        """Return the policy to use with a configuration."""
+        return self
 
     @abstractmethod
     def pick(self, members: list[Member], router: "Router", now: float) -> str | None:
@@ -141,6 +191,7 @@
         self._members = members
         self.rng = rng
         self._health = health
+        self._variants = placement
         self._placement = placement
         self._targets: dict[str, Target] = {}
         self._by_service: dict[tuple[str, frozenset[str] | None], list[Member]] = {}
@@ -154,12 +205,23 @@
     def handlers(self):
         """Return the handlers of this decision."""
         return {
-            ConfigChanged: self.on_rules_changed,
-            EvacuationsChanged: self.on_rules_changed,
+            ConfigChanged: self.on_config_changed,
+            EvacuationsChanged: self.on_evacuations_changed,
             MembersChanged: self.on_members_changed,
             PeerDown: self.on_peer_down,
         }
 
+    def on_config_changed(self, signal, now):
+        """Use the policy that the new configuration requires."""
+        self._placement = self._variants.in_force(signal.new)
+        self._by_service.clear()
+        return ()
+
+    def on_evacuations_changed(self, signal, now):
+        """Discard the candidates that were indexed under other orders."""
+        self._by_service.clear()
+        return ()
+
     def on_members_changed(self, signal, now):
         """Discard the indexed candidates, and the load of nodes that are not live."""
         self._by_service.clear()
@@ -168,11 +230,6 @@
             del self._targets[node]
         return ()
 
-    def on_rules_changed(self, signal, now):
-        """Discard the candidates that were indexed under other rules."""
-        self._by_service.clear()
-        return ()
-
     def on_peer_down(self, signal, now):
         """Discard the load of a node whose stream was lost."""
         self._targets.pop(signal.node, None)
@@ -199,6 +256,7 @@
         if load is not None:
             target.load = load
             target.load_at = now
+            target.outstanding_at_load = target.outstanding
 
     def choose(
         self,
@@ -207,6 +265,7 @@
         excluded: frozenset,
         now: float,
         regions: frozenset[str] | None = None,
+        has_crossed: bool = False,
     ) -> str | None:
         """Return the node for an attempt, or None if there is none.
 
@@ -216,8 +275,15 @@
             Names of nodes that are not chosen.
         regions : frozenset of str or None
             Regions in which the call may be served; None for all.
+        has_crossed : bool
+            Whether the call's chain has already left a region. It may do so again
+            only if there is no backend server in this one.
         """
         candidates = self._candidates(service, regions)
+        if has_crossed and self._placement.crosses_once:
+            region = self.own.region
+            local = [member for member in candidates if member.region == region]
+            candidates = local or candidates
         usable = [
             member
             for member in candidates
@@ -243,6 +309,11 @@
         data_centres = {each.data_centre for each in members if each.node == node}
         return {each.node for each in members if each.data_centre in data_centres}
 
+    def is_in_own_region(self, node: str) -> bool:
+        """Return whether a node is in the own region, as far as it is known."""
+        member = self._members.find(node)
+        return member is None or member.region == self.own.region
+
     def _admits(self, member, importance, now):
         if self.target(member.node).would_admit(importance, now):
             return True
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -169,6 +169,8 @@
     root_organisation : str
         Organisation of the call above this one, if its allowed regions bind this call
         too; empty for none.
+    has_crossed : bool
+        Whether the call's chain has left a region.
     """
 
     attempt: str
@@ -186,6 +188,7 @@
     request_id: str = ""
     rank: int = 0
     root_organisation: str = ""
+    has_crossed: bool = False
 
 
 @frozen
--- a/src/monsoonmill/platform/settings.py
+++ b/src/monsoonmill/platform/settings.py
@@ -163,6 +163,14 @@
     if "evacuation" in params:
         evacuation_ms = int(parse_ms(params["evacuation"]))
         overlay["platform"] = {**overlay["platform"], "evacuation_ms": evacuation_ms}
+    # Bound on the requests that reach a cold backend server in a second.
+    cold = {
+        name: float(params[name])
+        for name in ("cold_excess", "cold_slack")
+        if name in params
+    }
+    if cold:
+        overlay["admission"] = {**overlay["admission"], **cold}
     if "config_apply" in params:
         ramp_ms = RAMP_FRACTION * parse_ms(params["config_apply"])
         overlay["quota"] = {**overlay["quota"], "ramp_ms": int(ramp_ms)}
