Tighten the tests of regions and evacuation

Two changes to the code left all tests green: charging a placement after a refusal in an evacuated data centre, and delaying the watch after an order. Each fails a test now. The tests hand out newer configurations by the message that nodes use, and share the platform's policies.

--- a/src/monsoonmill/decisions/configuration/evacuations.py
+++ b/src/monsoonmill/decisions/configuration/evacuations.py
@@ -36,8 +36,7 @@
         """Return the state that a listing of all orders describes."""
         names = (name.removeprefix(EVACUATION_PREFIX) for name in listing.names)
         # A listing of an empty store is known, too.
-        version = (0, max(listing.version, 1))
-        return cls(version, _bounded(names))
+        return cls(_with_era(max(listing.version, 1)), _bounded(names))
 
     @classmethod
     def from_reply(cls, reply: EvacuationsReply) -> "Evacuations":
@@ -59,7 +58,9 @@
         Changes of one transaction have the same version, so each is compared with the
         version before all of them.
         """
-        newer = [stored for stored in changes if (0, stored.version) > self.version]
+        newer = [
+            stored for stored in changes if _with_era(stored.version) > self.version
+        ]
         data_centres = set(self.data_centres)
         for stored in sorted(newer, key=lambda stored: stored.version):
             name = stored.key.removeprefix(EVACUATION_PREFIX)
@@ -67,10 +68,15 @@
                 data_centres.discard(name)
             else:
                 data_centres.add(name)
-        versions = [self.version, *((0, stored.version) for stored in newer)]
+        versions = [self.version, *(_with_era(stored.version) for stored in newer)]
         return evolve(self, version=max(versions), data_centres=_bounded(data_centres))
 
 
+def _with_era(revision):
+    """Return a version of the store; the era is 0 while the client reports none."""
+    return 0, revision
+
+
 def _bounded(names):
     """Return the usable names, at most ``MAX_EVACUATED`` of them."""
     usable = sorted(name for name in names if 0 < len(name) <= MAX_NAME_CHARS)
--- a/tests/configs.py
+++ b/tests/configs.py
@@ -5,6 +5,15 @@
 from monsoonmill.reasons import Importance
 
 SECRET = "secret-of-branch"
+PLATFORM_POLICY = {
+    "placing": "data-centre",
+    "claims": "none",
+    "admission": "slots",
+    "front_door": "open",
+    "contexts": "none",
+    "quota": "unlimited",
+}
+"""The platform's policies, except that rates are not limited."""
 
 
 def small_config(rate=1000.0, burst=1000.0, revision=1):
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -6,25 +6,15 @@
 from attrs import evolve
 
 from monsoonmill.decisions.calls.signals import RunFailure, RunFinished
-from monsoonmill.messages import Forward
+from monsoonmill.decisions.signals import Received
+from monsoonmill.messages import ConfigReply, Forward
 from monsoonmill.model import HttpResponse, Route
 from monsoonmill.reasons import HTTP_STATUS, Outcome, Reason
-from tests.configs import SECRET, small_config
+from tests.configs import PLATFORM_POLICY, SECRET, small_config
 from tests.fleet import FakeFleet, answer_ok
 
 REGIONS = ("east", "west", "south")
-PLATFORM = {
-    "policy": {
-        "placing": "data-centre",
-        "claims": "none",
-        "admission": "slots",
-        "front_door": "open",
-        "contexts": "none",
-        "quota": "unlimited",
-        "health": "none",
-        "poison": "none",
-    }
-}
+PLATFORM = {"policy": {**PLATFORM_POLICY, "health": "none", "poison": "none"}}
 
 
 def limited_config(route=(), organisation=(), open_route=(), revision=1):
@@ -104,28 +94,21 @@
     assert len(fleet.executed) > 60
 
 
-def test_lists_without_a_common_region_refuse_at_once_as_not_run():
-    fleet = start_fleet(limited_config(route=("west",), organisation=("east",)))
+@pytest.mark.parametrize("route", ["west", "north"])
+def test_call_without_a_region_or_a_server_there_is_refused_at_once(route):
+    # Guards against a wait, another status, or a reason that hides the cause.
+    organisation = {"west": ("east",), "north": ()}[route]
+    fleet = start_fleet(limited_config(route=(route,), organisation=organisation))
     node = node_in(fleet, "west")
     answer = call(fleet, node, limit_s=0.0)
     assert (answer.outcome, answer.reason) == (
         Outcome.NOT_RUN,
         Reason.NO_ALLOWED_REGION,
     )
-    assert HTTP_STATUS[Reason.NO_ALLOWED_REGION] == 503
-    assert HTTP_STATUS[Reason.REGION_NOT_ALLOWED] == 503
     assert fleet.forwards == []
     assert node.core.counters.snapshot()["no-allowed-region"] == 1
-
-
-def test_no_server_in_the_allowed_regions_refuses_at_once_as_not_run():
-    fleet = start_fleet(limited_config(route=("north",)))
-    answer = call(fleet, node_in(fleet, "east"), limit_s=0.0)
-    assert (answer.outcome, answer.reason) == (
-        Outcome.NOT_RUN,
-        Reason.NO_ALLOWED_REGION,
-    )
-    assert fleet.forwards == []
+    assert HTTP_STATUS[Reason.NO_ALLOWED_REGION] == 503
+    assert HTTP_STATUS[Reason.REGION_NOT_ALLOWED] == 503
 
 
 def test_receiver_refuses_by_its_own_configuration_and_the_call_is_placed_elsewhere():
@@ -133,15 +116,7 @@
     fleet = start_fleet(limited_config())
     sender, strict = node_in(fleet, "east"), node_in(fleet, "west")
     newer = limited_config(route=("east",), revision=2)
-    list(strict.core.register.adopt(newer))
-    list(strict.core.authorization.on_config_changed(_Changed(newer), fleet.now))
-    others = [node for node in fleet.nodes.values() if node is not strict]
-    for other in others:
-        fleet.cut_links.update(
-            frozenset((other.name, third.name))
-            for third in others
-            if third is not other
-        )
+    fleet.inject(strict, Received("operator", ConfigReply(newer)))
     chosen = sender.core.router.choose
     sender.core.router.choose = lambda *args: (
         chosen(*args) if strict.name in args[2] else strict.name
@@ -153,19 +128,12 @@
     assert sender.core.counters.snapshot()["retry-region"] == 1
 
 
-class _Changed:
-    def __init__(self, new):
-        self.new = new
-
-
 def test_waiting_attempt_obeys_a_list_that_is_set_meanwhile():
     # Guards against a run that waited for its slot while the region was forbidden.
     fleet = start_fleet(limited_config(), lambda node, run: None, per_region=1)
     east = node_in(fleet, "east")
-    config = limited_config(route=("east",))
-    list(east.core.register.adopt(evolve(config, revision=2)))
-    list(east.core.authorization.on_config_changed(_Changed(config), fleet.now))
-    fleet.advance(2.0)
+    in_east = limited_config(route=("east",), revision=2)
+    fleet.inject(east, Received("operator", ConfigReply(in_east)))
     names = [
         fleet.call(east, "donkeys", "/lookup", bearer=SECRET, timeout_ms=5000)
         for _ in range(12)
@@ -173,7 +141,7 @@
     fleet.advance(0.1)
     assert east.core.admission.load().waiting == 4
     moved = limited_config(route=("west",), revision=3)
-    list(east.core.authorization.on_config_changed(_Changed(moved), fleet.now))
+    fleet.inject(east, Received("operator", ConfigReply(moved)))
     for _, run in list(fleet.executed):
         fleet.inject(east, RunFinished(run.attempt, None, RunFailure.TIMED_OUT))
     fleet.advance(1.0)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -6,44 +6,44 @@
 import pytest
 from attrs import evolve, frozen
 
+from monsoonmill.decisions.configuration.configuration import WATCH
 from monsoonmill.decisions.configuration.evacuations import (
     EVACUATION_PREFIX,
     Evacuations,
 )
 from monsoonmill.decisions.configuration.pending_note import CONFIG_KEY
-from monsoonmill.decisions.signals import Received, StoredListing, StoredValue
+from monsoonmill.decisions.signals import (
+    PlatformDone,
+    PlatformWatch,
+    Received,
+    StoredListing,
+    StoredValue,
+)
 from monsoonmill.messages import EvacuationsReply, Forward
 from monsoonmill.model import Address, HttpRequest
 from monsoonmill.platform.store_client import KvClient
 from monsoonmill.reasons import Outcome, Reason
 from monsoonmill.standin.kv_store import KvApp, KvStore, PendingWatch, StoreFaults
-from tests.configs import SECRET, small_config
+from tests.configs import PLATFORM_POLICY, SECRET, small_config
 from tests.fleet import FakeFleet, answer_ok
 
 BOUND_S = 5.0
 """Time after the order from which no request may reach a server there."""
 SECTIONS = {
-    "policy": {
-        "placing": "data-centre",
-        "claims": "none",
-        "admission": "slots",
-        "front_door": "open",
-        "contexts": "none",
-        "quota": "unlimited",
-    },
+    "policy": PLATFORM_POLICY,
     "platform": {"evacuation_ms": 5000, "max_watchers_per_data_centre": 2},
     "members": {"gossip_ms": 700, "suspect_ms": 3000},
     "call": {"tries": 1, "placements": 3},
 }
 
 
-def start_fleet(run=None, data_centres=("z1", "z2"), per_centre=3, settle_s=8.0):
-    fleet = FakeFleet(run, **SECTIONS)
+def start_fleet(run=None, data_centres=("z1", "z2"), per_centre=3, **sections):
+    fleet = FakeFleet(run, **{**SECTIONS, **sections})
     fleet.install(small_config())
     for index in range(per_centre * len(data_centres)):
         name = data_centres[index % len(data_centres)]
         fleet.add(f"r-{name[0]}", name, "donkeys")
-    fleet.advance(settle_s)
+    fleet.advance(8.0)
     return fleet
 
 
@@ -170,17 +170,12 @@
 
 
 def test_one_refusal_excludes_the_data_centre_and_costs_no_retry():
-    # With 6 nodes there, 3 placements and one retry would otherwise be used up.
-    fleet = start_fleet(per_centre=6)
+    # Other refusals by nodes would use up placements and retries, of which it has none.
+    fleet = start_fleet(per_centre=6, call={"tries": 0, "placements": 0})
     sender = nodes_in(fleet, "z2")[0]
-    others = [node for node in fleet.nodes.values() if node is not sender]
     for node in nodes_in(fleet, "z1"):
         state = Evacuations((0, 99), frozenset({"z1"}))
         node.core.view.evacuations = state
-    for node in others:
-        fleet.cut_links.update(
-            frozenset((node.name, third.name)) for third in others if third is not node
-        )
     chosen, tried = sender.core.router.choose, []
 
     def choose_evacuated_first(*args):
@@ -246,6 +241,16 @@
     assert runs_in(fleet, "z0")
 
 
+def test_watch_goes_on_at_once_after_an_order():
+    # Guards against the delay that follows the removal of the configuration.
+    fleet = start_fleet(per_centre=1)
+    node = nodes_in(fleet, "z1")[0]
+    changed = StoredValue(f"{EVACUATION_PREFIX}z2", 99, b"")
+    signals = node.core.handle(PlatformDone(WATCH, (changed,), fleet.now), fleet.now)
+    assert any(isinstance(signal, PlatformWatch) for signal in signals)
+    assert evacuated(node) == {"z2"}
+
+
 def test_changes_of_one_transaction_all_count_and_older_ones_do_not():
     state = Evacuations((0, 5), frozenset({"z1"}))
     key = EVACUATION_PREFIX
