--- a/tests/test_placing_by_pace.py
+++ b/tests/test_placing_by_pace.py
@@ -226,7 +226,9 @@
 
 
 def choose(router, now=10.0, has_crossed=False):
-    return router.choose(SERVICE, Importance.NORMAL, frozenset(), now, has_crossed)
+    return router.choose(
+        SERVICE, Importance.NORMAL, frozenset(), now, has_crossed=has_crossed
+    )
 
 
 def choose_many(router, calls=100, **kwargs):
