Compute the threshold standing of a backend server's capacity

Under overload each service drops other calls, so most chains fail after other services have worked for them. A chain now has a standing, of its importance and a rank. The queue beside a backend server serves by standing, and a controller finds the lowest standing whose attempts fit what the server completes. With rank 0 everywhere the order of the queue is as before.

--- a/src/monsoonmill/decisions/admission/fair_queue.py
+++ b/src/monsoonmill/decisions/admission/fair_queue.py
@@ -1,19 +1,30 @@
-"""Bounded queue ordered by importance, then fairly by organisation, then by age.
+"""Bounded queue ordered by standing, then fairly by organisation, then by age.
 
-Within a class, organisations with waiting calls get equal numbers of slots, by
-start-time fair queueing in which every call costs one unit.
+The standing is the importance and, within it, the rank of the call's chain. Among
+attempts of equal standing, organisations with waiting calls get equal numbers of slots,
+by start-time fair queueing in which every call costs one unit.
 """
 
+from bisect import bisect_left, insort
 from collections import OrderedDict
 
 from attrs import define, field
 
+from monsoonmill.decisions.admission.chain_admission import RANKS
 from monsoonmill.reasons import Importance
 
 
 @define(eq=False)
 class QueuedCall:
-    """An attempt that waits for a slot."""
+    """An attempt that waits for a slot.
+
+    Attributes
+    ----------
+    importance : Importance
+        Class in which the attempt is queued.
+    rank : int
+        Rank within the class; 0 where chains have no ranks.
+    """
 
     attempt: str
     route: str
@@ -21,11 +32,17 @@
     importance: Importance
     deadline: float
     queued_at: float
+    rank: int = 0
+
+    @property
+    def standing(self) -> int:
+        """Position in the order of admission; the highest is first."""
+        return self.importance * RANKS + self.rank
 
 
 @define
 class ClassQueue:
-    """Waiting attempts of one importance class.
+    """Waiting attempts of one standing.
 
     Attributes
     ----------
@@ -94,7 +111,8 @@
 
     def __init__(self, max_length: int):
         self._max_length = max_length
-        self._classes = {importance: ClassQueue() for importance in Importance}
+        self._classes: dict[int, ClassQueue] = {}
+        self._standings: list[int] = []
         self._calls: dict[str, QueuedCall] = {}
 
     def __len__(self):
@@ -114,26 +132,28 @@
             self._push(call)
         return victim
 
+    def _class(self, standing):
+        queue = self._classes.get(standing)
+        if queue is None:
+            queue = self._classes[standing] = ClassQueue()
+        return queue
+
     def _push(self, call):
         self._calls[call.attempt] = call
-        self._classes[call.importance].push(call)
+        queue = self._class(call.standing)
+        if not queue.waiting:
+            insort(self._standings, call.standing)
+        queue.push(call)
 
     def _select_victim(self, call):
         """Return the attempt to reject or evict when the queue is full."""
-        lowest = next(
-            (
-                importance
-                for importance in Importance
-                if self._classes[importance].waiting
-            ),
-            None,
-        )
-        if lowest is None or call.importance < lowest:
+        if not self._standings or call.standing < self._standings[0]:
             return call
-        victim = self._classes[lowest].newest_of_longest()
-        if call.importance > lowest:
-            return victim
+        lowest = self._standings[0]
         queue = self._classes[lowest]
+        victim = queue.newest_of_longest()
+        if call.standing > lowest:
+            return victim
         is_shorter = queue.count_waiting(call.organisation) + 1 < queue.count_waiting(
             victim.organisation
         )
@@ -143,23 +163,25 @@
         """Remove an attempt; return it, or None if it does not wait."""
         call = self._calls.pop(attempt, None)
         if call is not None:
-            self._classes[call.importance].remove(call)
+            queue = self._classes[call.standing]
+            queue.remove(call)
+            if not queue.waiting:
+                del self._standings[bisect_left(self._standings, call.standing)]
         return call
 
     def pop(self, lowest: Importance) -> QueuedCall | None:
         """Remove and return the next attempt of at least a given importance."""
-        for importance in reversed(Importance):
-            if importance < lowest:
-                return None
-            call = self._classes[importance].first()
-            if call is not None:
-                return self.remove(call.attempt)
-        return None
+        if not self._standings or self._standings[-1] < lowest * RANKS:
+            return None
+        call = self._classes[self._standings[-1]].first()
+        return self.remove(call.attempt)
 
     def charge(self, call: QueuedCall) -> None:
         """Charge an attempt's organisation for a slot."""
-        self._classes[call.importance].charge(call.organisation)
+        self._class(call.standing).charge(call.organisation)
 
     def has_waiting(self, importance: Importance) -> bool:
         """Return whether any attempt of a class waits."""
-        return bool(self._classes[importance].waiting)
+        first = importance * RANKS
+        index = bisect_left(self._standings, first)
+        return index < len(self._standings) and self._standings[index] < first + RANKS
--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -4,6 +4,7 @@
 
 from monsoonmill.decisions.admission.admission import Admission
 from monsoonmill.decisions.admission.admission_level import AdmissionLevel
+from monsoonmill.decisions.admission.chain_admission import ThresholdController
 from monsoonmill.decisions.admission.concurrency_limit import (
     AdaptiveLimit,
     ConcurrencyLimit,
@@ -15,6 +16,7 @@
 from monsoonmill.decisions.admission.signals import Admitted, NotAdmitted, SlotReleased
 from monsoonmill.decisions.admission.silent_runs import SilentRuns
 from monsoonmill.decisions.admission.slots_limit import SlotsLimit
+from monsoonmill.decisions.configuration.signals import ConfigChanged
 from monsoonmill.decisions.signals import BackendAnnounced
 from monsoonmill.decisions.timers import Timers
 from monsoonmill.eventlog import get_logger
@@ -96,6 +98,8 @@
 
     An attempt is refused before it runs when the time left until its deadline is
     shorter than its route's recent latency, or when it has waited for too long.
+    Where the configuration has mixed objectives, a threshold tells other nodes for
+    which chains there is capacity.
     """
 
     def __init__(self, cfg: AdmissionSettings, limit: ConcurrencyLimit):
@@ -110,6 +114,7 @@
         self._background_running = 0
         self._queue_empty_at = float("-inf")
         self._timers = Timers()
+        self._controller: ThresholdController | None = None
 
     @classmethod
     def adaptive(cls, cfg: AdmissionSettings) -> "QueuedAdmission":
@@ -128,9 +133,27 @@
 
     def handlers(self):
         """Return the handlers of this decision."""
-        own_handlers = {BackendAnnounced: self.on_backend_announced}
+        own_handlers = {
+            BackendAnnounced: self.on_backend_announced,
+            ConfigChanged: self.on_config_changed,
+        }
         return {**super().handlers(), **own_handlers}
 
+    def on_config_changed(self, signal: ConfigChanged, now: float):
+        """Compute thresholds only for configurations with mixed objectives."""
+        if not signal.new.has_mixed_objectives:
+            self._controller = None
+        elif self._controller is None:
+            self._controller = ThresholdController()
+        return ()
+
+    def threshold(self, now):
+        """Return the lowest standing for which there is capacity; 0 for all."""
+        if self._controller is None:
+            return 0
+        self._controller.evaluate(now)
+        return self._controller.threshold
+
     def on_backend_announced(self, signal: BackendAnnounced, now: float):
         """Pass the announced number of slots to the limit."""
         self._limit.set_announced_slots(signal.slots)
@@ -145,7 +168,10 @@
             signal.importance,
             signal.deadline,
             now,
+            signal.rank,
         )
+        if self._controller is not None:
+            self._controller.record_arrival(call.standing, len(self._queue), now)
         if self._would_miss_deadline(call, now):
             yield NotAdmitted(call.attempt, Reason.DEADLINE, 0.0)
             return
@@ -174,6 +200,8 @@
         if _run_result(signal) is RunResult.ANSWERED:
             self._find_silent_runs(signal.attempt, now)
         run = self._release(signal.attempt)
+        if self._controller is not None and _run_result(signal) is RunResult.ANSWERED:
+            self._controller.record_completion(now)
         if run is not None:
             sample = RunSample(
                 run.route,
@@ -303,6 +331,8 @@
         self._timers.cancel(call.attempt)
         if reason is not Reason.DEADLINE:
             self._level.record_refused(call.importance, now)
+        if self._controller is not None:
+            self._controller.record_refusal(now)
         return NotAdmitted(call.attempt, reason, RETRY_AFTER_S)
 
     def _would_miss_deadline(self, call, now):
@@ -329,6 +359,8 @@
     def _update_queue_empty_at(self, now):
         """Update the last time at which no foreground attempt was waiting."""
         queue = self._queue
+        if self._controller is not None:
+            self._controller.record_queue(len(queue))
         if not queue or not any(
             queue.has_waiting(importance) for importance in FOREGROUND
         ):
@@ -343,6 +375,7 @@
             "waiting": load.waiting,
             "silent": len(self._silent_runs),
             "level": load.level.name.lower(),
+            "threshold": self._controller.threshold if self._controller else 0,
         }
 
 
--- a/src/monsoonmill/decisions/admission/signals.py
+++ b/src/monsoonmill/decisions/admission/signals.py
@@ -7,13 +7,20 @@
 
 @frozen
 class AdmitCall:
-    """Requests a slot at the backend server for an attempt."""
+    """Requests a slot at the backend server for an attempt.
+
+    Attributes
+    ----------
+    rank : int
+        Rank within the importance; 0 where chains have no ranks.
+    """
 
     attempt: str
     route: str
     organisation: str
     importance: Importance
     deadline: float
+    rank: int = 0
 
 
 @frozen
