Refuse chains below the reported threshold where they start

Replies carry the higher of a node's own threshold and that of the services which runs of the same route called, so it reaches the nodes where chains start. Entry limit "objectives" refuses there, also critical calls, where the objectives of routes differ widely. Nested calls inherit the rank of their chain by request id.

--- a/src/monsoonmill/decisions/admission/entry_limit.py
+++ b/src/monsoonmill/decisions/admission/entry_limit.py
@@ -7,10 +7,18 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from random import Random
 
-from attrs import define
+from attrs import define, frozen
 
+from monsoonmill.counters import Counters
+from monsoonmill.decisions.admission.chain_admission import (
+    ReturningCallers,
+    RouteThresholds,
+    draw_retry_after_s,
+    standing,
+)
 from monsoonmill.errors import CallRefusedError
 from monsoonmill.reasons import Importance, Reason
 
@@ -43,12 +51,38 @@
 """Number of routes tracked; the table is cleared when it would exceed this."""
 
 
+@frozen
+class RootCall:
+    """What identifies a call that starts a chain.
+
+    Attributes
+    ----------
+    fingerprint : int
+        Digest of host, method, path and body.
+    deadline : float
+        Time in seconds after which the response is not needed.
+    """
+
+    request_id: str = ""
+    fingerprint: int = 0
+    deadline: float = float("inf")
+
+
+UNIDENTIFIED = RootCall()
+
+
 class EntryLimit(ABC):
     """Decides whether a call that starts a chain is admitted."""
 
     @abstractmethod
-    def admit(self, route: str, importance: Importance, now: float) -> None:
-        """Admit a call.
+    def admit(
+        self,
+        route: str,
+        importance: Importance,
+        now: float,
+        root: RootCall = UNIDENTIFIED,
+    ) -> int:
+        """Admit a call and return the rank of its chain; 0 for no rank.
 
         Raises
         ------
@@ -66,16 +100,53 @@
             Probability that it was lost to overload, from 0 to 1.
         """
 
+    @abstractmethod
+    def record_threshold(self, route: str, threshold: int, now: float) -> None:
+        """Record the threshold standing that a reply reported for a route."""
+
+    @abstractmethod
+    def record_refusal(
+        self, fingerprint: int, rank: int, wait_s: float, now: float
+    ) -> None:
+        """Record that an admitted call was refused later and may return.
+
+        Parameters
+        ----------
+        wait_s : float
+            Time in seconds that its caller was told to wait.
+        """
+
+    def thresholds(self) -> dict[str, int]:
+        """Return the threshold standings of the limited routes, for operators."""
+        return {}
+
     def shares(self) -> dict[str, float]:
         """Return the admitted shares of the limited routes, for operators."""
         return {}
 
 
-class NoEntryLimit(EntryLimit):
+class UnrankedEntryLimit(EntryLimit):
+    """Base of the limits that do not distinguish calls of the same route."""
+
+    def record_threshold(self, route, threshold, now):
+        """Do nothing."""
+
+    def record_refusal(self, fingerprint, rank, wait_s, now):
+        """Do nothing."""
+
+
+class NoEntryLimit(UnrankedEntryLimit):
     """Admits every call; a baseline for comparisons."""
 
-    def admit(self, route: str, importance: Importance, now: float) -> None:
+    def admit(
+        self,
+        route: str,
+        importance: Importance,
+        now: float,
+        root: RootCall = UNIDENTIFIED,
+    ) -> int:
         """Admit the call."""
+        return 0
 
     def record_result(self, route: str, lost: float, now: float) -> None:
         """Do nothing."""
@@ -125,18 +196,24 @@
         self.growth = min(self.growth * GROWTH_ACCELERATION, MAX_GROWTH)
 
 
-class AdaptiveEntryLimit(EntryLimit):
+class AdaptiveEntryLimit(UnrankedEntryLimit):
     """Admits the share of each route's calls for which chains have capacity."""
 
     def __init__(self, rng: Random):
         self._rng = rng
         self._routes: dict[str, RouteLimit] = {}
 
-    def admit(self, route: str, importance: Importance, now: float) -> None:
+    def admit(
+        self,
+        route: str,
+        importance: Importance,
+        now: float,
+        root: RootCall = UNIDENTIFIED,
+    ) -> int:
         """Admit or refuse a call; calls of the top class are always admitted."""
         limit = self._routes.get(route)
         if limit is None or limit.share >= 1 or importance is Importance.CRITICAL:
-            return
+            return 0
         limit.evaluate(now)
         if self._rng.random() >= limit.share:
             raise CallRefusedError(
@@ -144,6 +221,7 @@
                 f"downstream overload: {limit.share:.2f} of the route's calls admitted",
                 retry_after_s=self._rng.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S),
             )
+        return 0
 
     def record_result(self, route: str, lost: float, now: float) -> None:
         """Count a call that ended, and evaluate the route if it is due."""
@@ -163,3 +241,116 @@
             for name, limit in self._routes.items()
             if limit.share < 1
         }
+
+
+class ChainEntryLimit(EntryLimit):
+    """Admits the calls whose standing reaches the threshold reported for their route.
+
+    Calls of every class are limited: an admitted chain that fails further down has used
+    other services for nothing, whatever its importance.
+    """
+
+    def __init__(self, rng: Random, counters: Counters):
+        self._rng = rng
+        self._counters = counters
+        self._thresholds = RouteThresholds()
+        self._returning = ReturningCallers(rng)
+        self._now = 0.0
+
+    def admit(
+        self,
+        route: str,
+        importance: Importance,
+        now: float,
+        root: RootCall = UNIDENTIFIED,
+    ) -> int:
+        """Admit or refuse a call by its standing; return the rank of its chain."""
+        self._now = now
+        rank, is_returning = self._returning.derive_rank(
+            root.fingerprint, root.request_id, importance, now
+        )
+        threshold = self._thresholds.value(route, now)
+        if standing(importance, rank) >= threshold:
+            if is_returning:
+                self._counters.add("returning-admitted")
+            return rank
+        wait_s = draw_retry_after_s(root.deadline - now, self._rng)
+        self._returning.record_refusal(root.fingerprint, rank, wait_s, now)
+        self._counters.add("entry-refused")
+        raise CallRefusedError(
+            Reason.SHED,
+            f"downstream overload: rank {rank} is below the threshold {threshold:.0f}",
+            retry_after_s=wait_s,
+        )
+
+    def record_result(self, route: str, lost: float, now: float) -> None:
+        """Do nothing, since the limit follows the reported thresholds."""
+
+    def record_threshold(self, route, threshold, now):
+        """Record the threshold standing that a reply reported for a route."""
+        self._now = now
+        self._thresholds.record(route, threshold, now)
+
+    def record_refusal(self, fingerprint, rank, wait_s, now):
+        """Record that an admitted call was refused later and may return."""
+        self._returning.record_refusal(fingerprint, rank, wait_s, now)
+
+    def thresholds(self):
+        """Return the threshold standings of the limited routes."""
+        return self._thresholds.snapshot(self._now)
+
+
+class ObjectivesEntryLimit(EntryLimit):
+    """Chooses a limit by the configuration in force.
+
+    Parameters
+    ----------
+    plain, chains : EntryLimit
+        Limits for configurations without and with mixed objectives.
+    has_mixed_objectives : callable
+        Returns whether the configuration in force has mixed objectives.
+    """
+
+    def __init__(
+        self,
+        plain: EntryLimit,
+        chains: EntryLimit,
+        has_mixed_objectives: Callable[[], bool],
+    ):
+        self._plain = plain
+        self._chains = chains
+        self._has_mixed_objectives = has_mixed_objectives
+
+    @property
+    def _limit(self):
+        return self._chains if self._has_mixed_objectives() else self._plain
+
+    def admit(
+        self,
+        route: str,
+        importance: Importance,
+        now: float,
+        root: RootCall = UNIDENTIFIED,
+    ) -> int:
+        """Admit or refuse a call by the limit in force."""
+        return self._limit.admit(route, importance, now, root)
+
+    def record_result(self, route: str, lost: float, now: float) -> None:
+        """Count the end of a call."""
+        self._limit.record_result(route, lost, now)
+
+    def record_threshold(self, route, threshold, now):
+        """Record the threshold standing that a reply reported for a route."""
+        self._limit.record_threshold(route, threshold, now)
+
+    def record_refusal(self, fingerprint, rank, wait_s, now):
+        """Record that an admitted call was refused later and may return."""
+        self._limit.record_refusal(fingerprint, rank, wait_s, now)
+
+    def thresholds(self):
+        """Return the threshold standings of the limited routes."""
+        return self._limit.thresholds()
+
+    def shares(self):
+        """Return the admitted shares of the limited routes."""
+        return self._limit.shares()
--- a/src/monsoonmill/decisions/calls/authorization.py
+++ b/src/monsoonmill/decisions/calls/authorization.py
@@ -35,6 +35,12 @@
 
     The key is checked with every call, so that a withdrawn key stops working on
     open connections too.
+
+    Attributes
+    ----------
+    has_mixed_objectives : bool
+        ``Config.has_mixed_objectives`` of the configuration in force, which takes a
+        pass over all routes.
     """
 
     def __init__(self, config: Config, rng: Random):
@@ -53,6 +59,7 @@
         return ()
 
     def _index(self):
+        self.has_mixed_objectives = self._config.has_mixed_objectives
         self._keys = {key.digest: key for key in self._config.keys.values()}
         current = set(self._config.keys)
         withdrawn = {key.name for key in self._config.withdrawn_keys.values()}
--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -110,6 +110,8 @@
     ----------
     parent : str
         Context token of the parent call; empty for a call from outside.
+    parent_route : str
+        Route of the running request that may have made the call; empty if unknown.
     retries_left : int
         Retries that this call may still make itself.
     delegated_retries : int
@@ -152,6 +154,7 @@
     controller: CallController
     arrived_at: float
     parent: str = ""
+    parent_route: str = ""
     retries_left: int = 0
     delegated_retries: int = 0
     attempt: str = ""
--- a/src/monsoonmill/decisions/calls/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -2,7 +2,8 @@
 
 from attrs import evolve
 
-from monsoonmill.decisions.admission.entry_limit import EntryLimit
+from monsoonmill.decisions.admission.chain_admission import derive_rank
+from monsoonmill.decisions.admission.entry_limit import EntryLimit, RootCall
 from monsoonmill.decisions.admission.thread_limit import ThreadLimit
 from monsoonmill.decisions.calls.authorization import (
     Authorization,
@@ -77,7 +78,9 @@
         if context.deadline <= now:
             raise CallRefusedError(Reason.DEADLINE)
         if caller.key and not is_nested:
-            self._entry_limit.admit(route.name, context.importance, now)
+            root = RootCall(arrival.request_id, fingerprint, context.deadline)
+            rank = self._entry_limit.admit(route.name, context.importance, now, root)
+            context = evolve(context, rank=rank)
         self._thread_limit.acquire(context.importance, is_nested)
         return Call(
             arrival,
@@ -88,6 +91,7 @@
             controller,
             now,
             parent=arrival.context,
+            parent_route=self._parent_route(arrival, caller),
             retries_left=self._retry_budget(arrival, route),
         )
 
@@ -140,19 +144,40 @@
         timeout_ms = min(timeout_ms, self._cfg.call.max_timeout_ms)
         if route.timeout_ms:
             timeout_ms = min(timeout_ms, route.timeout_ms)
+        importance = self._authorization.importance(route, caller)
+        parent = self._find_parent(arrival, caller)
+        if parent is None:
+            rank = self._unlinked_rank(arrival, caller)
+        else:
+            importance, rank = max(importance, parent.importance), parent.rank
         return CallContext(
             organisation=caller.organisation,
-            importance=self._importance(arrival, route, caller),
+            importance=importance,
             deadline=now + timeout_ms / 1000,
             tries=self._cfg.call.tries,
             depth=0,
+            rank=rank,
         )
 
-    def _importance(self, arrival, route, caller):
-        importance = self._authorization.importance(route, caller)
+    def _find_parent(self, arrival, caller):
+        """Return the running request that may have made a call; None if unknown."""
         if caller.key or not arrival.parent_id:
-            return importance
-        return self._running_requests.inherit_importance(importance, arrival.parent_id)
+            return None
+        return self._running_requests.find(arrival.parent_id)
+
+    def _parent_route(self, arrival, caller):
+        parent = self._find_parent(arrival, caller)
+        return "" if parent is None else parent.route
+
+    def _unlinked_rank(self, arrival, caller):
+        """Return the rank of a call that has no known parent.
+
+        All calls of a request whose parent is forgotten, as after a restart of the
+        node, have equal ranks. ``EntryLimit.admit`` gives those with a key theirs.
+        """
+        if caller.key or not self._authorization.has_mixed_objectives:
+            return 0
+        return derive_rank(arrival.parent_id or arrival.request_id)
 
     def _nested_context(self, arrival, route, context, now):
         deadline = context.deadline
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -1,12 +1,21 @@
 """Calls received by this node, and their attempts."""
 
 from itertools import count
+from math import inf
+from random import Random
 
 from attrs import evolve
 
 from monsoonmill.counters import Counters
+from monsoonmill.decisions.admission.chain_admission import (
+    RouteThresholds,
+    band,
+    draw_retry_after_s,
+    max_retry_after_s,
+)
 from monsoonmill.decisions.admission.entry_limit import EntryLimit
 from monsoonmill.decisions.admission.nested_overload import (
+    OVERLOAD_REASONS,
     NestedOverload,
     overload_loss_probability,
 )
@@ -49,6 +58,9 @@
 from monsoonmill.reasons import Outcome, Reason, RetryReason
 from monsoonmill.settings import Settings
 
+RETURNING_REASONS = OVERLOAD_REASONS | {Reason.BACKEND_SERVER_SHED}
+"""Reasons of refusals after which a caller that returns as told has an advantage."""
+
 
 class CallFlow(Decision, CallController):
     """Drives the calls of this node from request to answer."""
@@ -67,6 +79,8 @@
         amplification: CallAmplification,
         nested_overload: NestedOverload,
         entry_limit: EntryLimit,
+        nested_thresholds: RouteThresholds,
+        rng: Random,
         counters: Counters,
     ):
         self.cfg = cfg
@@ -83,6 +97,8 @@
         self._amplification = amplification
         self._nested_overload = nested_overload
         self._entry_limit = entry_limit
+        self._nested_thresholds = nested_thresholds
+        self._rng = rng
         self._attempt_numbers = count(1)
         self._calls: dict[str, Call] = {}
         self._attempts: dict[str, Call] = {}
@@ -148,6 +164,7 @@
                 reason=exc.reason,
                 detail=exc.detail,
                 retry_after_s=exc.retry_after_s,
+                max_retry_after_s=self._max_wait_s(signal, exc),
             )
             yield self._report_refused(signal, exc)
             return
@@ -158,6 +175,25 @@
         call.chart = CALL_CHART.start(call)
         yield from self._dispatch(call.name, "accepted", now)
 
+    def _max_wait_s(self, arrival, exc):
+        """Return the longest wait that a caller refused on arrival can be told."""
+        if not self._is_capped(exc.reason):
+            return inf
+        if exc.reason is Reason.SHED:
+            # The entry limit knows the deadline of the call.
+            return exc.retry_after_s
+        timeout_ms = arrival.timeout_ms
+        return inf if timeout_ms is None else max_retry_after_s(timeout_ms / 1000)
+
+    def _is_capped(self, reason):
+        """Return whether the wait that callers are told is capped.
+
+        Callers with a short deadline ignore longer waits. A rate limit is not capped,
+        since the organisation has no token before.
+        """
+        has_mixed = self._authorization.has_mixed_objectives
+        return has_mixed and reason is not Reason.OVER_RATE
+
     def on_caller_disconnected(self, signal, now):
         """End a call whose caller has disconnected."""
         yield from self._dispatch(signal.call, "caller_disconnected", now)
@@ -198,8 +234,12 @@
         if call.caller.key and self._authorization.is_withdrawn(call.caller.key):
             call.outbox.append(DeferredEvent("no_backend_server", Reason.KEY_WITHDRAWN))
             return
+        context = call.context
         node = self._router.choose(
-            service, call.context.importance, frozenset(call.excluded), call.now
+            service,
+            band(context.importance, context.rank),
+            frozenset(call.excluded),
+            call.now,
         )
         if node is None:
             is_served = self._router.has_backend_server(service)
@@ -233,6 +273,7 @@
             fingerprint=call.fingerprint,
             key=call.caller.key,
             request_id=call.arrival.request_id,
+            rank=context.rank,
         )
 
     def on_reply(self, signal, now):
@@ -248,6 +289,8 @@
         call.nested_overload_share = reply.load.strain
         if call.is_nested:
             self._amplification.record_nested_call(reply.load.work)
+        if self._authorization.has_mixed_objectives:
+            self._record_threshold(call, reply.load.threshold, now)
         call.reclaim_retries(reply.tries)
         if reply.response is not None and reply.reason is None:
             yield from self._dispatch(call.name, "attempt_succeeded", now, reply)
@@ -256,6 +299,12 @@
         call.failure = AttemptFailure(reply.outcome, reason, reply.retry_after_s)
         yield from self._handle_failure(call, now)
 
+    def _record_threshold(self, call, threshold, now):
+        if not call.is_nested:
+            self._entry_limit.record_threshold(call.route.name, threshold, now)
+        elif call.parent_route:
+            self._nested_thresholds.record(call.parent_route, threshold, now)
+
     def on_peer_down(self, signal, now):
         """Fail the attempts at a node whose stream was lost; they may have run."""
         lost = [call for call in self._attempts.values() if call.node == signal.node]
@@ -356,12 +405,36 @@
                     call.chart.send(signal.event, signal.arg)
                     continue
                 if isinstance(signal, Answer):
+                    signal = self._cap_retry_after(call, signal, now)
                     self._close_call(call, signal, now)
                     yield self._report(call, signal, now)
                     if call.token_organisation and signal.outcome is Outcome.NOT_RUN:
                         yield TokenReturned(call.token_organisation)
                 yield signal
 
+    def _cap_retry_after(self, call, answer, now):
+        """Return an answer with a wait that its caller honours.
+
+        The caller of a chain that was refused for overload is recognised when it
+        returns.
+        """
+        is_refusal = answer.outcome is Outcome.NOT_RUN and answer.reason is not None
+        if not is_refusal or not self._is_capped(answer.reason):
+            return answer
+        remaining_s = call.context.deadline - now
+        wait_s = answer.retry_after_s
+        if wait_s > 0:
+            wait_s = min(wait_s, draw_retry_after_s(remaining_s, self._rng))
+        if answer.reason in RETURNING_REASONS and not call.is_nested:
+            self._entry_limit.record_refusal(
+                call.fingerprint, call.context.rank, wait_s, now
+            )
+        return evolve(
+            answer,
+            retry_after_s=wait_s,
+            max_retry_after_s=max_retry_after_s(remaining_s),
+        )
+
     def _report_refused(self, arrival, exc):
         req = arrival.request
         return CallReport(
@@ -426,4 +499,8 @@
 
     def status(self):
         """Return the number of calls in progress, and the limited routes."""
-        return {"in_progress": self.in_progress, "entry": self._entry_limit.shares()}
+        return {
+            "in_progress": self.in_progress,
+            "entry": self._entry_limit.shares(),
+            "thresholds": self._entry_limit.thresholds(),
+        }
--- a/src/monsoonmill/decisions/calls/execution.py
+++ b/src/monsoonmill/decisions/calls/execution.py
@@ -7,6 +7,7 @@
 
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.counters import Counters
+from monsoonmill.decisions.admission.chain_admission import band
 from monsoonmill.decisions.admission.nested_overload import NestedOverload
 from monsoonmill.decisions.admission.signals import (
     AdmitCall,
@@ -14,7 +15,10 @@
     SlotReleased,
 )
 from monsoonmill.decisions.calls.contexts import Contexts
-from monsoonmill.decisions.calls.running_requests import RunningRequests
+from monsoonmill.decisions.calls.running_requests import (
+    RunningRequest,
+    RunningRequests,
+)
 from monsoonmill.decisions.calls.signals import (
     AbortRun,
     RunCall,
@@ -55,8 +59,8 @@
     instance: str
 
     @abstractmethod
-    def load(self, now: float) -> Load:
-        """Return the load to report with a reply."""
+    def load(self, now: float, route: str) -> Load:
+        """Return the load to report with a reply to an attempt of a route."""
 
     @abstractmethod
     def set_timer(self, attempt: str, due: float) -> None:
@@ -120,8 +124,9 @@
                 forward.attempt,
                 forward.route,
                 forward.organisation,
-                forward.importance,
+                band(forward.importance, forward.rank),
                 self.deadline,
+                forward.rank,
             )
         )
 
@@ -131,13 +136,17 @@
         self.controller.amplification.record_run()
         self.controller.nested_overload.record_run(self.now)
         forward = self.forward
-        self.controller.running_requests.add(forward.request_id, forward.importance)
+        self.controller.running_requests.add(
+            forward.request_id,
+            RunningRequest(forward.importance, forward.rank, forward.route),
+        )
         context = CallContext(
             forward.organisation,
             forward.importance,
             self.deadline,
             forward.tries,
             forward.depth,
+            forward.rank,
         )
         self.token = self.controller.contexts.issue(context, forward.key)
         address = self.controller.backend_address
@@ -233,7 +242,7 @@
 
     def _reply(self, outcome, reason, response=None, retry_after_s=0.0):
         body = response.body if response is not None else b""
-        load = self.controller.load(self.now)
+        load = self.controller.load(self.now, self.forward.route)
         reply = Reply(
             self.forward.attempt,
             outcome,
--- a/src/monsoonmill/decisions/calls/executions.py
+++ b/src/monsoonmill/decisions/calls/executions.py
@@ -4,6 +4,7 @@
 
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission.admission import Admission
+from monsoonmill.decisions.admission.chain_admission import RouteThresholds
 from monsoonmill.decisions.admission.nested_overload import NestedOverload
 from monsoonmill.decisions.admission.signals import Admitted, NotAdmitted
 from monsoonmill.decisions.calls.authorization import Authorization
@@ -58,6 +59,7 @@
         amplification: CallAmplification,
         nested_overload: NestedOverload,
         running_requests: RunningRequests,
+        nested_thresholds: RouteThresholds,
         counters: Counters,
         max_readmits: int,
     ):
@@ -71,6 +73,7 @@
         self.backend_address: Address | None = None
         self.instance = ""
         self.draining = False
+        self._nested_thresholds = nested_thresholds
         self._authorization = authorization
         self._poison = poison
         self._crashes = CrashCounter()
@@ -93,8 +96,8 @@
             RunFinished: self.on_run_finished,
         }
 
-    def load(self, now: float) -> Load:
-        """Return the load to report with a reply."""
+    def load(self, now: float, route: str) -> Load:
+        """Return the load to report with a reply to an attempt of a route."""
         load = self.admission.load()
         return Load(
             load.running,
@@ -104,8 +107,19 @@
             self.amplification.factor,
             round(self.nested_overload.value(now), 3),
             round(self._lost_answer_ratio.value(now), 3),
+            self._threshold(now, route),
         )
 
+    def _threshold(self, now, route):
+        """Return the lowest standing of a route's calls for which there is capacity.
+
+        The threshold here and those of the services that the route's runs call count.
+        """
+        if not self._authorization.has_mixed_objectives:
+            return 0
+        nested = round(self._nested_thresholds.value(route, now))
+        return max(self.admission.threshold(now), nested)
+
     @property
     def in_progress(self) -> int:
         """Number of attempts without a reply."""
--- a/src/monsoonmill/decisions/calls/signals.py
+++ b/src/monsoonmill/decisions/calls/signals.py
@@ -1,6 +1,7 @@
 """Signals about calls and their runs at the own backend server."""
 
 from enum import Enum, unique
+from math import inf
 
 from attrs import frozen
 
@@ -52,7 +53,15 @@
 
 @frozen
 class Answer:
-    """The answer to a call, sent by the front end."""
+    """The answer to a call, sent by the front end.
+
+    Attributes
+    ----------
+    retry_after_s : float
+        Time after which the caller may repeat the call; 0 for no information.
+    max_retry_after_s : float
+        Longest time that the caller is willing to wait.
+    """
 
     call: str
     outcome: Outcome
@@ -60,6 +69,7 @@
     reason: Reason | None = None
     detail: str = ""
     retry_after_s: float = 0.0
+    max_retry_after_s: float = inf
 
 
 @frozen
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -5,6 +5,7 @@
 
 from monsoonmill.codec import ConfigCodec
 from monsoonmill.counters import Counters
+from monsoonmill.decisions.admission.chain_admission import RouteThresholds
 from monsoonmill.decisions.admission.nested_overload import NestedOverload
 from monsoonmill.decisions.calls.authorization import Authorization
 from monsoonmill.decisions.calls.call_checks import CallChecks
@@ -87,7 +88,8 @@
             RunningRequests(),
         )
         thread_limit = make_thread_limit(cfg)
-        entry_limit = make_entry_limit(cfg, rng)
+        entry_limit = make_entry_limit(cfg, rng, self.authorization, self.counters)
+        nested_thresholds = RouteThresholds()
         checks = CallChecks(
             cfg,
             self.authorization,
@@ -110,6 +112,8 @@
             amplification,
             nested_overload,
             entry_limit,
+            nested_thresholds,
+            rng,
             self.counters,
         )
         self.executions = Executions(
@@ -120,6 +124,7 @@
             amplification,
             nested_overload,
             running_requests,
+            nested_thresholds,
             self.counters,
             cfg.admission.readmits,
         )
--- a/src/monsoonmill/decisions/policies.py
+++ b/src/monsoonmill/decisions/policies.py
@@ -9,8 +9,10 @@
 from monsoonmill.decisions.admission.admission import Admission, AdmitAll
 from monsoonmill.decisions.admission.entry_limit import (
     AdaptiveEntryLimit,
+    ChainEntryLimit,
     EntryLimit,
     NoEntryLimit,
+    ObjectivesEntryLimit,
 )
 from monsoonmill.decisions.admission.queued import QueuedAdmission
 from monsoonmill.decisions.admission.thread_limit import (
@@ -18,6 +20,7 @@
     ThreadLimit,
     UnlimitedThreads,
 )
+from monsoonmill.decisions.calls.authorization import Authorization
 from monsoonmill.decisions.calls.contexts import Contexts, ContextTable, NoContexts
 from monsoonmill.decisions.claims.claims import Claims, NoClaims
 from monsoonmill.decisions.configuration.configuration import ConfigView
@@ -113,11 +116,20 @@
     return ContextTable(make_token)
 
 
-def make_entry_limit(cfg: Settings, rng: Random) -> EntryLimit:
+def make_entry_limit(
+    cfg: Settings, rng: Random, authorization: Authorization, counters: Counters
+) -> EntryLimit:
     """Return the limit on the calls that begin a chain."""
     if cfg.policy.entry == "none":
         return NoEntryLimit()
-    return AdaptiveEntryLimit(rng)
+    adaptive = AdaptiveEntryLimit(rng)
+    if cfg.policy.entry == "adaptive":
+        return adaptive
+    return ObjectivesEntryLimit(
+        adaptive,
+        ChainEntryLimit(rng, counters),
+        lambda: authorization.has_mixed_objectives,
+    )
 
 
 def make_thread_limit(cfg: Settings) -> ThreadLimit:
--- a/src/monsoonmill/model.py
+++ b/src/monsoonmill/model.py
@@ -254,6 +254,8 @@
         Retries that the remaining call chain may use.
     depth : int
         Number of calls above this one in the chain.
+    rank : int
+        Rank of the chain among those of the same importance; 0 for none.
     """
 
     organisation: str
@@ -261,3 +263,4 @@
     deadline: float
     tries: int
     depth: int
+    rank: int = 0
--- a/src/monsoonmill/platform/callers.py
+++ b/src/monsoonmill/platform/callers.py
@@ -1,5 +1,7 @@
 """The platform's HTTP protocol between callers and a node."""
 
+from math import floor
+
 from monsoonmill.decisions.calls.signals import Answer, CallArrived
 from monsoonmill.http1.server import WebApp
 from monsoonmill.model import HttpRequest, HttpResponse
@@ -90,8 +92,7 @@
         status = refusal_status(answer)
         headers = [("Content-Type", "text/plain")]
         if status in (NOT_RUN_STATUS, OVER_RATE_STATUS):
-            wait_s = max(answer.retry_after_s, MIN_RETRY_AFTER_S)
-            headers.append((RETRY_AFTER, f"{wait_s:.2f}"))
+            headers.append((RETRY_AFTER, _format_wait(answer)))
         return HttpResponse(status, tuple(headers), f"{answer.reason.value}\n".encode())
 
 
@@ -110,6 +111,13 @@
     return NOT_RUN_STATUS
 
 
+def _format_wait(answer):
+    """Return the wait in seconds, rounded down if it is the longest possible."""
+    wait_s = max(answer.retry_after_s, MIN_RETRY_AFTER_S)
+    longest_s = answer.max_retry_after_s
+    return f"{wait_s:.2f}" if wait_s < longest_s else f"{floor(longest_s * 100) / 100}"
+
+
 def _parse_bearer(value):
     scheme, _, secret = value.partition(" ")
     return secret.strip() if scheme.lower() == "bearer" else ""
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -69,7 +69,7 @@
     admission: str = field(validator=in_(("adaptive", "slots", "fixed", "all")))
     front_door: str = field(validator=in_(("threads", "open")))
     contexts: str = field(validator=in_(("tokens", "none")))
-    entry: str = field(validator=in_(("adaptive", "none")))
+    entry: str = field(validator=in_(("adaptive", "objectives", "none")))
     health: str = field(validator=in_(("passive", "none")))
     poison: str = field(validator=in_(("on", "none")))
 
