--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -5,6 +5,7 @@
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission.admission import Admission
 from monsoonmill.decisions.admission.admission_level import AdmissionLevel
+from monsoonmill.decisions.admission.chain_admission import ThresholdController
 from monsoonmill.decisions.admission.cold_limit import MAX_WAIT_S, ColdLimit
 from monsoonmill.decisions.admission.concurrency_limit import (
     AdaptiveLimit,
@@ -129,6 +130,8 @@
 
     An attempt is refused before it runs when the time left until its deadline is
     shorter than its route's recent latency, or when it has waited for too long.
+    Where the configuration has mixed objectives, a threshold tells other nodes for
+    which chains there is capacity.
     """
 
     def __init__(
@@ -157,6 +160,7 @@
         self._background_running = 0
         self._queue_empty_at = float("-inf")
         self._timers = Timers()
+        self._controller: ThresholdController | None = None
 
     @classmethod
     def adaptive(
@@ -196,6 +200,13 @@
         self._cold.start(now)
         return ()
 
+    def threshold(self, now):
+        """Return the lowest standing for which there is capacity; 0 for all."""
+        if self._controller is None:
+            return 0
+        self._controller.evaluate(now)
+        return self._controller.threshold
+
     def on_backend_announced(self, signal: BackendAnnounced, now: float):
         """Pass the announced slots, start and cold time to the limits."""
         process = (signal.instance, signal.started_ms)
@@ -215,9 +226,13 @@
         yield from self._admit_waiting(now)
 
     def on_config_changed(self, signal: ConfigChanged, now: float):
-        """Use the cold limit and the pace as the new configuration requires."""
+        """Use the cold limit, pace and threshold as the new configuration requires."""
         self._config = signal.new
         self._has_mixed_objectives = signal.new.has_mixed_objectives
+        if not self._has_mixed_objectives:
+            self._controller = None
+        elif self._controller is None:
+            self._controller = ThresholdController()
         if self._configure(now):
             yield from self._begin_cold(now)
         yield from self._admit_waiting(now)
@@ -257,7 +272,10 @@
             signal.importance,
             signal.deadline,
             now,
+            signal.rank,
         )
+        if self._controller is not None:
+            self._controller.record_arrival(call.standing, len(self._queue), now)
         if self._would_miss_deadline(call, now):
             yield NotAdmitted(call.attempt, Reason.DEADLINE, 0.0)
             return
@@ -292,6 +310,8 @@
         if _run_result(signal) is RunResult.ANSWERED:
             self._find_silent_runs(signal.attempt, now)
         run = self._release(signal.attempt)
+        if self._controller is not None and _run_result(signal) is RunResult.ANSWERED:
+            self._controller.record_completion(now)
         if run is not None:
             sample = RunSample(
                 run.route,
@@ -450,6 +470,8 @@
             if self._cold.is_cold(now):
                 self._counters.add(COLD_REFUSED)
             self._level.record_refused(call.importance, now)
+        if self._controller is not None:
+            self._controller.record_refusal(now)
         return NotAdmitted(call.attempt, reason, RETRY_AFTER_S)
 
     def _would_miss_deadline(self, call, now):
@@ -478,6 +500,8 @@
     def _update_queue_empty_at(self, now):
         """Update the last time at which no foreground attempt was waiting."""
         queue = self._queue
+        if self._controller is not None:
+            self._controller.record_queue(len(queue))
         if not queue or not any(
             queue.has_waiting(importance) for importance in FOREGROUND
         ):
@@ -494,6 +518,7 @@
             "level": load.level.name.lower(),
             "latency_ms": load.latency_ms,
             **self._cold.status(self._handled_at),
+            "threshold": self._controller.threshold if self._controller else 0,
         }
 
 
--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -116,6 +116,8 @@
         Context token of the parent call; empty for a call from outside.
     has_crossed : bool
         Whether its chain had left a region before this call.
+    parent_route : str
+        Route of the running request that may have made the call; empty if unknown.
     retries_left : int
         Retries that this call may still make itself.
     delegated_retries : int
@@ -163,6 +165,7 @@
     parent: str = ""
     root_organisation: str = ""
     has_crossed: bool = False
+    parent_route: str = ""
     retries_left: int = 0
     delegated_retries: int = 0
     attempt: str = ""
--- a/src/monsoonmill/decisions/calls/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -2,7 +2,8 @@
 
 from attrs import evolve
 
-from monsoonmill.decisions.admission.entry_limit import EntryLimit
+from monsoonmill.decisions.admission.chain_admission import derive_rank
+from monsoonmill.decisions.admission.entry_limit import EntryLimit, RootCall
 from monsoonmill.decisions.admission.thread_limit import ThreadLimit
 from monsoonmill.decisions.calls.authorization import (
     Authorization,
@@ -81,7 +82,9 @@
         if context.deadline <= now:
             raise CallRefusedError(Reason.DEADLINE)
         if caller.key and not is_nested:
-            self._entry_limit.admit(route.name, context.importance, now)
+            root = RootCall(arrival.request_id, fingerprint, context.deadline)
+            rank = self._entry_limit.admit(route.name, context.importance, now, root)
+            context = evolve(context, rank=rank)
         self._thread_limit.acquire(context.importance, is_nested)
         return Call(
             arrival,
@@ -94,6 +97,7 @@
             parent=arrival.context,
             root_organisation=root_organisation,
             has_crossed=parent is not None and parent.has_crossed,
+            parent_route="" if parent is None else parent.route,
             retries_left=self._retry_budget(arrival, route),
         )
 
@@ -173,18 +177,30 @@
         timeout_ms = min(timeout_ms, self._cfg.call.max_timeout_ms)
         if route.timeout_ms:
             timeout_ms = min(timeout_ms, route.timeout_ms)
+        importance = self._authorization.importance(route, caller)
+        parent = self._find_parent(arrival, caller)
+        if parent is None:
+            rank = self._unlinked_rank(arrival, caller)
+        else:
+            importance, rank = max(importance, parent.importance), parent.rank
         return CallContext(
             organisation=caller.organisation,
-            importance=self._importance(arrival, route, caller),
+            importance=importance,
             deadline=now + timeout_ms / 1000,
             tries=self._cfg.call.tries,
             depth=0,
+            rank=rank,
         )
 
-    def _importance(self, arrival, route, caller):
-        importance = self._authorization.importance(route, caller)
-        parent = self._find_parent(arrival, caller)
-        return importance if parent is None else max(importance, parent.importance)
+    def _unlinked_rank(self, arrival, caller):
+        """Return the rank of a call that has no known parent.
+
+        All calls of a request whose parent is forgotten, as after a restart of the
+        node, have equal ranks. ``EntryLimit.admit`` gives those with a key theirs.
+        """
+        if caller.key or not self._authorization.has_mixed_objectives:
+            return 0
+        return derive_rank(arrival.parent_id or arrival.request_id)
 
     def _nested_context(self, arrival, route, context, now):
         deadline = context.deadline
--- a/src/monsoonmill/decisions/calls/execution.py
+++ b/src/monsoonmill/decisions/calls/execution.py
@@ -7,6 +7,7 @@
 
 from monsoonmill.chart import ChartInstance, bind_methods
 from monsoonmill.counters import Counters
+from monsoonmill.decisions.admission.chain_admission import band
 from monsoonmill.decisions.admission.nested_overload import NestedOverload
 from monsoonmill.decisions.admission.signals import (
     AdmitCall,
@@ -65,8 +66,8 @@
     instance: str
 
     @abstractmethod
-    def load(self, now: float) -> Load:
-        """Return the load to report with a reply."""
+    def load(self, now: float, route: str) -> Load:
+        """Return the load to report with a reply to an attempt of a route."""
 
     @abstractmethod
     def set_timer(self, attempt: str, due: float) -> None:
@@ -130,8 +131,9 @@
                 forward.attempt,
                 forward.route,
                 forward.organisation,
-                forward.importance,
+                band(forward.importance, forward.rank),
                 self.deadline,
+                forward.rank,
             )
         )
 
@@ -145,6 +147,8 @@
             forward.request_id,
             RunningRequest(
                 forward.importance,
+                forward.rank,
+                forward.route,
                 forward.root_organisation or forward.organisation,
                 forward.has_crossed,
             ),
@@ -155,6 +159,7 @@
             self.deadline,
             forward.tries,
             forward.depth,
+            forward.rank,
         )
         self.token = self.controller.contexts.issue(context, forward.key)
         address = self.controller.backend_address
@@ -254,7 +259,7 @@
 
     def _reply(self, outcome, reason, response=None, retry_after_s=0.0):
         body = response.body if response is not None else b""
-        load = self.controller.load(self.now)
+        load = self.controller.load(self.now, self.forward.route)
         reply = Reply(
             self.forward.attempt,
             outcome,
--- a/src/monsoonmill/decisions/calls/running_requests.py
+++ b/src/monsoonmill/decisions/calls/running_requests.py
@@ -16,6 +16,10 @@
 
     Attributes
     ----------
+    rank : int
+        Rank of the chain; 0 for none.
+    route : str
+        Name of the request's route.
     organisation : str
         Organisation whose allowed regions bind the chain; empty if unknown.
     has_crossed : bool
@@ -23,6 +27,8 @@
     """
 
     importance: Importance
+    rank: int = 0
+    route: str = ""
     organisation: str = ""
     has_crossed: bool = False
 
