Limit the header lines of a message and size what its objects hold

Cause: the size of a head counted names and values, but not the objects that hold them: 60 KB of `a:` lines count as 15 KB and take about 1 MB.

A message may have 5,500 header lines (heads of 16,384 bytes have at most 5,461 of the shortest form). held_bytes of a reader includes the objects, by constants for a line and a request. A check per line was ruled out for its processor time; it runs once per read and per head.

--- a/src/monsoonmill/http1/client.py
+++ b/src/monsoonmill/http1/client.py
@@ -87,7 +87,9 @@
         self.results: list[RunFinished] = []
         self._pool = pool
         limits = pool.limits
-        self._reader = ResponseReader(limits.max_header_bytes, limits.max_body_bytes)
+        self._reader = ResponseReader(
+            limits.max_header_bytes, limits.max_body_bytes, limits.max_header_lines
+        )
         self._send_buffer = bytearray()
         self._mask = EVENT_READ | EVENT_WRITE
         self._allows_reuse = True
@@ -243,7 +245,7 @@
         try:
             if data:
                 self._reader.feed(data)
-                self._pool.count_buffered(self, len(self._reader.body))
+                self._pool.count_buffered(self, self._reader.held_bytes)
             elif not self._reader.feed_eof():
                 is_truncated = not self._reader.is_idle
                 self.chart.send(
@@ -386,7 +388,7 @@
         self._idle.append(conn)
 
     def count_buffered(self, conn: BackendConnection, size: int) -> None:
-        """Record the size of a response's body; close the largest one if needed."""
+        """Record the size of a response; close the largest one if needed."""
         largest = self._budget.record(conn, size)
         if largest is not None:
             log.warning("body_budget_exceeded", total=self._budget.total_bytes)
--- a/src/monsoonmill/http1/messages.py
+++ b/src/monsoonmill/http1/messages.py
@@ -4,10 +4,15 @@
 
 from attrs import frozen
 
+from monsoonmill.http1.parsing import DEFAULT_HEADER_LINES
 from monsoonmill.model import HttpResponse
 
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 DEFAULT_BUFFERED_BYTES = 1 << 27
+DEFAULT_HELD_BYTES = 1 << 28
+"""Twice the default for bodies, as the platform's fractions of the memory are."""
+DEFAULT_MAX_CONNECTIONS = 10_000
+"""No limit in practice, since a process has fewer descriptors."""
 BODILESS = (204, 304)
 """Statuses of responses without a body."""
 
@@ -27,6 +32,10 @@
     max_buffered_bytes : int
         Bytes that the bodies on all connections of a component may occupy together;
         a single body may exceed it.
+    max_header_lines : int
+        Maximum number of header lines of a message.
+    max_connections : int
+        Maximum number of open connections of a port.
     """
 
     max_header_bytes: int
@@ -34,6 +43,8 @@
     idle_s: float
     header_s: float
     max_buffered_bytes: int = DEFAULT_BUFFERED_BYTES
+    max_header_lines: int = DEFAULT_HEADER_LINES
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
 
 
 def encode_response(resp: HttpResponse, method: str, keeps_alive: bool) -> bytes:
--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -13,6 +13,14 @@
 from monsoonmill.model import HttpRequest, HttpResponse
 
 SWITCHING_PROTOCOLS = 101
+DEFAULT_HEADER_LINES = 5500
+"""16,384 bytes hold at most 5,461 header lines of the shortest form, ``a:`` and LF."""
+HEADER_LINE_BYTES = 200
+"""Memory of a header line besides its characters: on 64-bit CPython 3, two strings of
+64 bytes, a tuple of 56 bytes and two entries in lists of 8 bytes."""
+REQUEST_BYTES = 600
+"""Memory of a complete request without its header lines and body: two objects with
+their attributes, the method and the path."""
 
 
 class MessageReader:
@@ -26,9 +34,15 @@
         Whether the headers of the current message are complete.
     """
 
-    def __init__(self, max_header_bytes: int, max_body_bytes: int):
+    def __init__(
+        self,
+        max_header_bytes: int,
+        max_body_bytes: int,
+        max_header_lines: int = DEFAULT_HEADER_LINES,
+    ):
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
+        self.max_header_lines = max_header_lines
         self.is_idle = True
         self.has_headers = False
         self.headers: list[tuple[str, str]] = []
@@ -58,6 +72,21 @@
             self._unparsed_bytes += len(data)
             if self._unparsed_bytes > self.max_header_bytes:
                 raise HttpMessageTooLargeError("headers", self.max_header_bytes)
+        self._check_header_lines()
+
+    def _check_header_lines(self):
+        # Checked once for each read and each head, since a check of each line would
+        # cost processor time for every request.
+        if len(self.headers) > self.max_header_lines:
+            raise HttpMessageTooLargeError("header lines", self.max_header_lines)
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the message being received occupies, in bytes."""
+        if self.is_idle:
+            return self._unparsed_bytes
+        size = self.header_bytes + len(self.body) + self._unparsed_bytes
+        return size + HEADER_LINE_BYTES * len(self.headers)
 
     def _parse(self, data):
         # An upgrade is ignored, as RFC 9110, section 7.8 allows; the parser stops
@@ -89,6 +118,8 @@
         """
         self._parser = None
         self.headers = []
+        self.header_bytes = 0
+        self._unparsed_bytes = 0
         self.body = bytearray()
 
     def release(self) -> None:
@@ -113,22 +144,22 @@
 
     def on_url(self, data):
         """Append a part of the request target."""
-        self._count_header_bytes(len(data))
+        self.header_bytes += len(data)
+        if self.header_bytes > self.max_header_bytes:
+            raise HttpMessageTooLargeError("headers", self.max_header_bytes)
         self.url += data
 
     def on_header(self, name, value):
         """Append a header field; trailer fields are dropped."""
         self._has_progressed = True
-        self._count_header_bytes(len(name) + len(value))
+        # Not a call of a method, since this runs for each header line.
+        self.header_bytes += len(name) + len(value)
+        if self.header_bytes > self.max_header_bytes:
+            raise HttpMessageTooLargeError("headers", self.max_header_bytes)
         if self.has_headers:
             return
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
-    def _count_header_bytes(self, size):
-        self.header_bytes += size
-        if self.header_bytes > self.max_header_bytes:
-            raise HttpMessageTooLargeError("headers", self.max_header_bytes)
-
     def on_headers_complete(self):
         """Record that the headers are complete.
 
@@ -136,9 +167,12 @@
         ------
         InvalidHttpMessageError
             The body has a transfer coding other than chunked.
+        HttpMessageTooLargeError
+            There are too many header lines.
         """
         self._has_progressed = True
         self.has_headers = True
+        self._check_header_lines()
         # The parser removes the chunked coding only, also behind another one.
         codings = [v for name, v in self.headers if name.lower() == "transfer-encoding"]
         if codings and [value.strip().lower() for value in codings] != ["chunked"]:
@@ -167,15 +201,42 @@
         Complete requests, and whether each allows the connection to be kept alive.
     """
 
-    def __init__(self, max_header_bytes: int, max_body_bytes: int):
-        super().__init__(max_header_bytes, max_body_bytes)
+    def __init__(
+        self,
+        max_header_bytes: int,
+        max_body_bytes: int,
+        max_header_lines: int = DEFAULT_HEADER_LINES,
+    ):
+        super().__init__(max_header_bytes, max_body_bytes, max_header_lines)
         self.requests: deque[tuple[HttpRequest, bool]] = deque()
+        self._sizes: deque[int] = deque()
+        self._queued_bytes = 0
         self._parser = HttpRequestParser(self)
 
     def release(self) -> None:
         """Drop the complete requests too."""
         super().release()
         self.requests.clear()
+        self._sizes.clear()
+        self._queued_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the complete requests and of the one being received, in bytes."""
+        return super().held_bytes + self._queued_bytes
+
+    def take_request(self) -> tuple[HttpRequest, bool, int]:
+        """Remove the first complete request.
+
+        Returns
+        -------
+        tuple of HttpRequest, bool and int
+            The request, whether it allows the connection to be kept alive, and the
+            memory that it occupies in bytes.
+        """
+        size = self._sizes.popleft()
+        self._queued_bytes -= size
+        return *self.requests.popleft(), size
 
     def on_headers_complete(self):
         """Refuse a request for an upgrade that has a body, which the parser skips."""
@@ -187,6 +248,10 @@
     def on_message_complete(self):
         """Append the request."""
         self._has_progressed = True
+        size = REQUEST_BYTES + self.header_bytes + len(self.body)
+        size += HEADER_LINE_BYTES * len(self.headers)
+        self._sizes.append(size)
+        self._queued_bytes += size
         req = HttpRequest(
             self._parser.get_method().decode("latin-1"),
             self.url.decode("latin-1"),
@@ -206,8 +271,13 @@
         Complete responses, and whether each allows the connection to be kept alive.
     """
 
-    def __init__(self, max_header_bytes: int, max_body_bytes: int):
-        super().__init__(max_header_bytes, max_body_bytes)
+    def __init__(
+        self,
+        max_header_bytes: int,
+        max_body_bytes: int,
+        max_header_lines: int = DEFAULT_HEADER_LINES,
+    ):
+        super().__init__(max_header_bytes, max_body_bytes, max_header_lines)
         self.responses: deque[tuple[HttpResponse, bool]] = deque()
         self._parser = HttpResponseParser(self)
         self._is_bodiless = False
