Bound the memory and connections of the HTTP ports

Cause: a connection went on reading while its request was pending, its queue of requests had no limit, heads, queued requests and unsent responses were charged to no budget, and connections were limited by the process's descriptors alone.

Change: one budget for all HTTP ports (http.max_held_bytes, a quarter of memory_mb); the connection that holds the most is refused with 503 if nothing of it has been handed on, else closed. Ports have a maximum number of connections, taken from max_fds; idle ones are closed first.

Ruled out: one budget together with streams and the backend server, since a flood of callers could then end the stream of another node.

--- a/src/monsoonmill/errors.py
+++ b/src/monsoonmill/errors.py
@@ -111,13 +111,15 @@
     Attributes
     ----------
     part : str
-        The part that is too large: ``headers`` or ``body``.
+        The part that is too large: ``headers``, ``header lines`` or ``body``.
+    limit : int
+        Its limit in bytes or lines.
     """
 
-    def __init__(self, part, limit_bytes):
-        super().__init__(f"size of {part} exceeds {limit_bytes} bytes")
+    def __init__(self, part, limit):
+        super().__init__(f"{part} over the limit of {limit}")
         self.part = part
-        self.limit_bytes = limit_bytes
+        self.limit = limit
 
 
 class PlatformError(MonsoonError):
--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -15,6 +15,8 @@
 SWITCHING_PROTOCOLS = 101
 DEFAULT_HEADER_LINES = 5500
 """16,384 bytes hold at most 5,461 header lines of the shortest form, ``a:`` and LF."""
+HEADER_LINES = "header lines"
+"""Part of a message that is too large, in errors."""
 HEADER_LINE_BYTES = 200
 """Memory of a header line besides its characters: on 64-bit CPython 3, two strings of
 64 bytes, a tuple of 56 bytes and two entries in lists of 8 bytes."""
@@ -72,13 +74,10 @@
             self._unparsed_bytes += len(data)
             if self._unparsed_bytes > self.max_header_bytes:
                 raise HttpMessageTooLargeError("headers", self.max_header_bytes)
-        self._check_header_lines()
-
-    def _check_header_lines(self):
         # Checked once for each read and each head, since a check of each line would
         # cost processor time for every request.
         if len(self.headers) > self.max_header_lines:
-            raise HttpMessageTooLargeError("header lines", self.max_header_lines)
+            raise HttpMessageTooLargeError(HEADER_LINES, self.max_header_lines)
 
     @property
     def held_bytes(self) -> int:
@@ -106,7 +105,7 @@
             # other, and through their tracebacks keep the received bytes in memory.
             error = exc.__context__
             if isinstance(error, HttpMessageTooLargeError):
-                raise HttpMessageTooLargeError(error.part, error.limit_bytes) from None
+                raise HttpMessageTooLargeError(error.part, error.limit) from None
             raise InvalidHttpMessageError(str(exc)) from exc
         return b""
 
@@ -172,7 +171,8 @@
         """
         self._has_progressed = True
         self.has_headers = True
-        self._check_header_lines()
+        if len(self.headers) > self.max_header_lines:
+            raise HttpMessageTooLargeError(HEADER_LINES, self.max_header_lines)
         # The parser removes the chunked coding only, also behind another one.
         codings = [v for name, v in self.headers if name.lower() == "transfer-encoding"]
         if codings and [value.strip().lower() for value in codings] != ["chunked"]:
--- a/src/monsoonmill/platform/node.py
+++ b/src/monsoonmill/platform/node.py
@@ -7,6 +7,8 @@
 from signal import SIGHUP
 from time import monotonic
 
+from attrs import evolve
+
 from monsoonmill.clock import SystemClock
 from monsoonmill.codec_msgpack import MsgpackCodec
 from monsoonmill.counters import Counters
@@ -15,6 +17,7 @@
 from monsoonmill.errors import USER_ERROR_STATUS, UserError
 from monsoonmill.eventlog import get_logger, request_log
 from monsoonmill.http1.client import BackendPool
+from monsoonmill.http1.memory_budget import MemoryBudget
 from monsoonmill.http1.messages import ConnectionLimits
 from monsoonmill.http1.server import WebServer
 from monsoonmill.logs import configure_logging
@@ -82,29 +85,30 @@
             float(cfg.http.idle_connection_s),
             HEADER_TIMEOUT_S,
             cfg.http.max_buffered_bytes,
+            cfg.http.max_header_lines,
+            cfg.http.max_service_connections,
         )
+        memory = MemoryBudget(cfg.http.max_held_bytes)
         operator_app = OperatorApp(self.core, lambda: self.task.latency)
-        caller_server = WebServer(
-            node_file.callers_address, CallerApp(node_file.service), limits
-        )
-        components = (
-            WebServer(node_file.readiness_address, ReadinessApp(self.is_ready), limits),
-            WebServer(
+        apps = (
+            (node_file.readiness_address, ReadinessApp(self.is_ready), limits),
+            (
                 node_file.heartbeats_address,
                 HeartbeatApp(node_file.backend_address, clock),
                 limits,
             ),
-            WebServer(node_file.operators_address, operator_app, limits),
-            caller_server,
+            (node_file.operators_address, operator_app, limits),
+            (
+                node_file.callers_address,
+                CallerApp(node_file.service),
+                evolve(limits, max_connections=cfg.http.max_connections),
+            ),
+        )
+        components = (
+            *(WebServer(*app, memory, self.core.counters) for app in apps),
             BackendPool(
                 PlatformBackendProtocol(),
-                ConnectionLimits(
-                    cfg.http.max_header_bytes,
-                    cfg.http.max_body_bytes,
-                    BACKEND_IDLE_TIMEOUT_S,
-                    HEADER_TIMEOUT_S,
-                    cfg.http.max_buffered_bytes,
-                ),
+                evolve(limits, idle_s=BACKEND_IDLE_TIMEOUT_S),
             ),
         )
         self.task = NodeTask(
--- a/src/monsoonmill/platform/settings.py
+++ b/src/monsoonmill/platform/settings.py
@@ -16,6 +16,23 @@
 BODY_MEMORY_FRACTION = 0.125
 """Fraction of a process's memory for the bodies of requests that are received or
 pending, and as much for responses; copies of a body take about as much again."""
+HELD_MEMORY_FRACTION = 0.25
+"""Fraction of a process's memory for all that the connections of its HTTP ports hold:
+the bodies of requests, and as much for heads and unsent responses."""
+PEER_MEMORY_FRACTION = 0.25
+"""Fraction of a process's memory for incomplete messages of other nodes."""
+FILE_DESCRIPTORS = 200
+"""Descriptors that the platform reserves for a process's files; the others are for its
+connections."""
+CALLER_CONNECTIONS_FRACTION = 0.6
+"""Fraction of the descriptors for connections that callers may use."""
+PEER_STREAMS_FRACTION = 0.2
+"""Fraction that streams of other nodes may use; these connect once or twice each."""
+SERVICE_CONNECTIONS_FRACTION = 0.04
+"""Fraction that each of the ports for readiness, heartbeats and metrics may use, which
+have few clients. The rest is for connections to the backend server and the store."""
+MIN_CONNECTIONS = 4
+"""Connections that each port may have with however few descriptors."""
 EXIT_RESERVE_S = 0.7
 """Part of the grace period after the drain, for closing connections and the exit."""
 SETTLE_FRACTION = 0.4
@@ -128,11 +145,24 @@
 
 
 def _apply_limits(overlay, limits):
-    """Set the memory for bodies from the memory of the host's process."""
+    """Set the limits that follow from the memory and descriptors of the process."""
+    http, peers = {}, {}
     if "memory_mb" in limits:
         memory_bytes = int(limits["memory_mb"]) << 20
-        buffered_bytes = int(memory_bytes * BODY_MEMORY_FRACTION)
-        overlay["http"] = {**overlay["http"], "max_buffered_bytes": buffered_bytes}
+        http["max_buffered_bytes"] = int(memory_bytes * BODY_MEMORY_FRACTION)
+        http["max_held_bytes"] = int(memory_bytes * HELD_MEMORY_FRACTION)
+        peers["max_received_bytes"] = int(memory_bytes * PEER_MEMORY_FRACTION)
+    if "max_fds" in limits:
+        count = int(limits["max_fds"]) - FILE_DESCRIPTORS
+
+        def share(fraction):
+            return max(int(count * fraction), MIN_CONNECTIONS)
+
+        http["max_connections"] = share(CALLER_CONNECTIONS_FRACTION)
+        http["max_service_connections"] = share(SERVICE_CONNECTIONS_FRACTION)
+        peers["max_streams"] = share(PEER_STREAMS_FRACTION)
+    overlay["http"] = {**overlay["http"], **http}
+    overlay["peers"] = {**overlay["peers"], **peers}
 
 
 def _apply_contract_params(overlay, params):
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -88,7 +88,19 @@
 
 @frozen
 class HttpSettings:
-    """Limits of the HTTP front ends."""
+    """Limits of the HTTP front ends.
+
+    Attributes
+    ----------
+    max_held_bytes : int
+        Memory that the connections of all HTTP ports hold together.
+    max_header_lines : int
+        Header lines of a message.
+    max_connections : int
+        Open connections of the callers' port.
+    max_service_connections : int
+        Open connections of each other HTTP port.
+    """
 
     crew_threads: int = int_field()
     reserved_threads: int = int_field(0)
@@ -96,6 +108,10 @@
     max_header_bytes: int = int_field(1024)
     max_body_bytes: int = int_field(1024)
     max_buffered_bytes: int = int_field(1024)
+    max_held_bytes: int = int_field(1024)
+    max_header_lines: int = int_field(100)
+    max_connections: int = int_field()
+    max_service_connections: int = int_field()
 
 
 @frozen
@@ -173,7 +189,15 @@
 
 @frozen
 class PeerSettings:
-    """Streams between nodes."""
+    """Streams between nodes.
+
+    Attributes
+    ----------
+    max_received_bytes : int
+        Memory for messages that are incomplete, on all streams together.
+    max_streams : int
+        Streams that other nodes have opened.
+    """
 
     heartbeat_ms: int = int_field()
     silent_ms: int = int_field()
@@ -182,6 +206,8 @@
     chunk_bytes: int = int_field(1024)
     max_frame_bytes: int = int_field(4096)
     region_bytes_per_s: int = int_field()
+    max_received_bytes: int = int_field(1024)
+    max_streams: int = int_field()
 
 
 @frozen
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -20,6 +20,7 @@
 )
 from monsoonmill.decisions.lifecycle.signals import DrainStarted
 from monsoonmill.http1.client import BackendPool
+from monsoonmill.http1.memory_budget import MemoryBudget
 from monsoonmill.http1.messages import ConnectionLimits
 from monsoonmill.http1.server import (
     ACCEPT_BATCH,
@@ -613,3 +614,64 @@
     loop.dispatch(loop.component.on_run, make_call(address))
     loop.run_until(lambda: loop.signals)
     assert loop.signals[0].failure is RunFailure.NOT_SENT
+
+
+# Clients that send or hold more than they should.
+def test_head_of_16_kib_with_the_shortest_lines_is_served(callers):
+    server = WebServer(
+        Address(HOST, free_port()), EchoApp(), ConnectionLimits(65536, 4096, 60.0, 10.0)
+    )
+    loop = ComponentLoop(server)
+    head = NOW[:-2] + b"a:\r\n" * ((16_384 - len(NOW)) // 4) + b"\r\n"
+    assert exchange(loop, head).split()[1] == b"200"
+    too_many = NOW[:-2] + b"a:\r\n" * 6000 + b"\r\n"
+    assert exchange(loop, too_many).split()[1] == b"431"
+    server.close()
+
+
+# A caller's end of its stream is behind bytes that are not read.
+def test_caller_that_closes_behind_requests_sent_ahead_is_reported(callers):
+    sock = connect(callers)
+    sock.sendall(LATER * 3000)
+    callers.run_until(lambda: callers.component._paused)
+    sock.close()
+    callers.signals.extend(callers.component.tick(monotonic()))
+    arrival, disconnected = callers.signals
+    assert disconnected == CallerDisconnected(arrival.call)
+    assert callers.component.connection_count == 0
+
+
+def test_requests_sent_ahead_of_a_refusal_wait(callers):
+    sock = connect(callers)
+    sock.sendall(LATER + NOW)
+    callers.run_until(lambda: callers.signals)
+    answer = Answer(callers.signals[0].call, Outcome.NOT_RUN, HttpResponse(503))
+    callers.dispatch(callers.component.on_answer, answer)
+    (conn,) = callers.component._conns
+    assert conn.reader.requests
+    callers.signals.extend(callers.component.tick(conn.resumes_at))
+    assert sock.recv(65536).count(b"HTTP/1.1 ") == 2
+    sock.close()
+
+
+@pytest.mark.parametrize("is_complete", [False, True])
+def test_largest_holder_gives_way_and_no_other_one(is_complete):
+    """A request that is being received is refused; one that is pending is aborted."""
+    memory = MemoryBudget(100_000)
+    limits = ConnectionLimits(65536, 1 << 20, 60.0, 10.0)
+    server = WebServer(Address(HOST, free_port()), EchoApp(), limits, memory)
+    loop = ComponentLoop(server)
+    head = b"POST /later HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    large, small = connect(loop), connect(loop)
+    large.sendall(head % 90_000 + b"b" * (90_000 if is_complete else 89_000))
+    loop.run_until(lambda: memory.total_bytes >= 89_000)
+    small.sendall(head % 20_000 + b"b" * 20_000)
+    loop.run_until(lambda: memory.total_bytes < 30_000)
+    answer = read_to_end(large)
+    large.close()
+    names = {type(signal) for signal in loop.signals}
+    assert answer.startswith(b"" if is_complete else b"HTTP/1.1 503 ")
+    assert names == {CallArrived} | ({CallerDisconnected} if is_complete else set())
+    assert b"Retry-After" in answer or is_complete
+    loop.run_until(lambda: server.connection_count == 1)
+    server.close()
