Bound the incomplete messages and streams of the peers' port

Cause: each stream could hold 256 incomplete messages of the maximum size, and the number of connections had no limit.

Streams that others open are limited by peers.max_streams; the oldest one without a name is closed first.

--- a/src/monsoonmill/codec.py
+++ b/src/monsoonmill/codec.py
@@ -26,6 +26,11 @@
             The data is invalid; the stream must be closed.
         """
 
+    @property
+    @abstractmethod
+    def unread_bytes(self) -> int:
+        """Size of the incomplete frame."""
+
     @abstractmethod
     def finish(self) -> None:
         """Handle the end of the stream.
--- a/src/monsoonmill/codec_msgpack.py
+++ b/src/monsoonmill/codec_msgpack.py
@@ -121,6 +121,11 @@
         self._unread_offset = end
         return frame
 
+    @property
+    def unread_bytes(self) -> int:
+        """Size of the incomplete frame."""
+        return len(self._unread)
+
     def finish(self) -> None:
         """Handle the end of the stream."""
         if self._unread:
--- a/src/monsoonmill/node/peer_stream.py
+++ b/src/monsoonmill/node/peer_stream.py
@@ -246,6 +246,20 @@
         for name in overdue:
             del self._open_attempts[name]
 
+    @property
+    def received_bytes(self) -> int:
+        """Size of the messages that are incomplete."""
+        return self._reassembler.held_bytes + self._reader.unread_bytes
+
+    @property
+    def transfer_count(self) -> int:
+        """Number of long messages that are incomplete."""
+        return self._reassembler.transfer_count
+
+    def close_over_limit(self, cause: str) -> None:
+        """Close the stream, since the process would exceed a limit."""
+        self._fail(cause)
+
     def wants_to_write(self, may_send_part: bool) -> bool:
         """Return whether there are bytes to write."""
         return (
--- a/src/monsoonmill/node/peer_transport.py
+++ b/src/monsoonmill/node/peer_transport.py
@@ -11,7 +11,8 @@
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.signals import PeerDown, PeerUnreachable, PeerUp, Received
 from monsoonmill.errors import ProtocolError, TruncatedFrameError
-from monsoonmill.eventlog import get_logger
+from monsoonmill.eventlog import get_logger, request_log
+from monsoonmill.http1.buffer_budget import BufferBudget
 from monsoonmill.messages import Hello, Reply
 from monsoonmill.model import Address
 from monsoonmill.node.listening_port import ListeningPort
@@ -82,6 +83,7 @@
         rate = float(cfg.peers.region_bytes_per_s)
         self._budget = ByteBudget(rate, rate, now)
         self._next_tick = now + TICK_INTERVAL_S
+        self._received = BufferBudget(cfg.peers.max_received_bytes)
         self._flush_pending: set[PeerStream] = set()
         self.bytes_by_region: dict[str, int] = defaultdict(int)
         self._is_closing = False
@@ -165,6 +167,10 @@
                 sock, (host, port) = self._port.accept()
             except OSError:
                 return
+            if not self._make_room():
+                self._report_limit("streams-refused", host)
+                sock.close()
+                continue
             stream = PeerStream.accept(
                 sock,
                 Address(host, port),
@@ -176,12 +182,58 @@
             )
             self._add(stream)
 
+    def _make_room(self):
+        """Return whether one more stream may be accepted.
+
+        At the limit, the oldest stream whose peer has not identified itself is closed.
+        """
+        accepted = [stream for stream in self._streams if not stream.is_initiator]
+        if len(accepted) < self._cfg.peers.max_streams:
+            return True
+        unknown = [stream for stream in accepted if not stream.node]
+        if not unknown:
+            return False
+        oldest = min(unknown, key=lambda stream: stream.last_used)
+        self._report_limit("streams-closed", oldest.address)
+        oldest.close_over_limit("too many streams")
+        # A stream without a node raises no signals.
+        for _ in self._process_events(oldest):
+            pass
+        return True
+
+    def _report_limit(self, reason, peer):
+        self._counters.add(reason)
+        request_log.write(
+            reason, peer=peer, streams=len(self._streams), held=self.received_bytes
+        )
+
+    @property
+    def received_bytes(self) -> int:
+        """Size of the incomplete messages of all streams."""
+        return self._received.total_bytes
+
+    def _limit_received(self, stream):
+        """Close the stream that holds the most if all exceed their budget.
+
+        A single message may exceed it.
+        """
+        largest = self._received.record(stream, stream.received_bytes)
+        if largest is None and stream.transfer_count > 1:
+            is_exceeded = self.received_bytes > self._received.max_bytes
+            largest = stream if is_exceeded else None
+        if largest is not None:
+            self._report_limit("peer-memory-closed", largest.address)
+            largest.close_over_limit("too much memory for incomplete messages")
+            yield from self._process_events(largest)
+
     def on_ready(self, stream: PeerStream, mask: int, now: float) -> Iterator[object]:
         """Handle the readiness of a stream; yield signals for the core."""
         if stream.is_connecting and mask & EVENT_WRITE:
             stream.on_connected(stream.sock.getsockopt(SOL_SOCKET, SO_ERROR))
         elif mask & EVENT_READ:
             stream.read(now)
+            if not stream.is_closed:
+                yield from self._limit_received(stream)
         self._flush_pending.add(stream)
         yield from self._process_events(stream)
 
@@ -230,6 +282,7 @@
 
     def _remove(self, stream):
         self._streams.discard(stream)
+        self._received.forget(stream)
         self._selector.unregister(stream.sock)
         if self._stream_by_node.get(stream.node) is stream:
             del self._stream_by_node[stream.node]
