Bound the bodies and the time for headers of the own interface

Cause: each of 48 threads held a body of up to 16 MiB, and a thread waited for the first bytes and the headers of a connection for the idle time after every byte.

Change: bodies that are received or pending are counted against http.max_buffered_bytes. Over it, a body larger than an equal part is refused with 503 as not run. Headers must come within 3 s, and new connections wait for their first bytes without a thread.

--- a/src/monsoonmill/node/request_body.py
+++ b/src/monsoonmill/node/request_body.py
@@ -1,5 +1,8 @@
 """Reading of complete request bodies."""
 
+from threading import Lock
+
+from attrs import define, field
 from cheroot.errors import MaxSizeExceeded
 from cheroot.server import HTTPRequest
 
@@ -7,6 +10,7 @@
 from monsoonmill.reasons import Reason
 
 CONTENT_LENGTH = b"Content-Length"
+READ_BYTES = 1 << 16
 
 
 class BodyError(UserError):
@@ -39,7 +43,88 @@
     reason = Reason.TOO_LARGE
 
 
-def read_body(req: HTTPRequest) -> bytes:
+class BodyMemoryError(BodyError):
+    """There is no memory for the body beside those of other requests."""
+
+    reason = Reason.SHED
+
+
+@define
+class HeldBodies:
+    """Bytes of the bodies that a server's threads hold.
+
+    A body is refused if all exceed the budget together and it is larger than an equal
+    part, so that at most twice the budget is held, or one body of any size.
+
+    Attributes
+    ----------
+    max_bytes, total_bytes, count : int
+        Budget, and size and number of the bodies.
+    """
+
+    max_bytes: int
+    total_bytes: int = 0
+    count: int = 0
+    _lock: Lock = field(factory=Lock)
+
+    def enter(self) -> None:
+        """Count a request with a body."""
+        with self._lock:
+            self.count += 1
+
+    def leave(self, size: int) -> None:
+        """Release the body of a request that was answered."""
+        with self._lock:
+            self.count -= 1
+            self.total_bytes -= size
+
+    def grow(self, size: int, own_size: int) -> None:
+        """Count received bytes of a body.
+
+        Parameters
+        ----------
+        own_size : int
+            Size of the body, with these bytes.
+
+        Raises
+        ------
+        BodyMemoryError
+            The budget is exceeded, and this body is larger than an equal part of it.
+        """
+        with self._lock:
+            self.total_bytes += size
+            is_exceeded = self.count > 1 and self.total_bytes > self.max_bytes
+            if is_exceeded and own_size > self.max_bytes // self.count:
+                raise BodyMemoryError("out of memory for bodies")
+
+
+@define
+class RequestBody:
+    """Body of a request, counted in the memory of its server until it is released."""
+
+    held: HeldBodies
+    size: int = 0
+    is_counted: bool = False
+
+    def read(self, rfile) -> bytes:
+        """Return all bytes of a body, counted as they come."""
+        self.held.enter()
+        self.is_counted = True
+        parts = []
+        while part := rfile.read(READ_BYTES):
+            self.size += len(part)
+            self.held.grow(len(part), self.size)
+            parts.append(part)
+        return b"".join(parts)
+
+    def release(self) -> None:
+        """Stop counting the body."""
+        if self.is_counted:
+            self.held.leave(self.size)
+            self.is_counted = False
+
+
+def read_body(req: HTTPRequest, body: RequestBody) -> bytes:
     """Return the complete body of a request.
 
     Raises
@@ -51,20 +136,20 @@
     if req.chunked_read:
         if length is not None:
             raise BodyLengthError("both a length and chunks")
-        return _read_chunks(req)
+        return _read_chunks(req, body)
     if length is None:
         return b""
     if not (length.isascii() and length.isdigit()):
         raise BodyLengthError("Content-Length must be a number of bytes")
-    body = req.rfile.read()
-    if len(body) != int(length):
-        raise TruncatedBodyError(f"{len(body)} of {int(length)} bytes came")
-    return body
+    data = body.read(req.rfile)
+    if len(data) != int(length):
+        raise TruncatedBodyError(f"{len(data)} of {int(length)} bytes came")
+    return data
 
 
-def _read_chunks(req):
+def _read_chunks(req, body):
     try:
-        return req.rfile.read()
+        return body.read(req.rfile)
     except ValueError as exc:
         raise MalformedChunkError("a chunk is malformed or cut short") from exc
     except TimeoutError:
--- a/src/monsoonmill/node/web.py
+++ b/src/monsoonmill/node/web.py
@@ -4,16 +4,23 @@
 from http import HTTPStatus
 from io import BytesIO
 from json import dumps
+from time import monotonic
 from traceback import format_exc
 
 from attrs import field, frozen
 from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
 from monsoonmill.counters import Counters
-from monsoonmill.eventlog import get_logger
+from monsoonmill.eventlog import get_logger, request_log
 from monsoonmill.node.headers import OUTCOME, REASON
-from monsoonmill.node.request_body import BodyError, read_body
-from monsoonmill.node.socket_files import open_socket_file
+from monsoonmill.node.request_body import (
+    BodyError,
+    BodyMemoryError,
+    HeldBodies,
+    RequestBody,
+    read_body,
+)
+from monsoonmill.node.socket_files import NEVER, open_socket_file
 from monsoonmill.reasons import HTTP_STATUS, Outcome
 from monsoonmill.settings import HttpSettings
 
@@ -22,6 +29,10 @@
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
 LISTEN_BACKLOG = 1024
+HEADER_TIMEOUT_S = 3.0
+"""Time limit for a request's headers, since each request being read takes a thread; as
+operators give clients."""
+MEMORY_RETRY_AFTER = ("Retry-After", "1")
 SHUTDOWN_TIMEOUT_S = 2
 
 
@@ -104,6 +115,15 @@
 class CountingRequest(HTTPRequest):
     """Counts the requests that cheroot rejects, and writes responses."""
 
+    def parse_request(self):
+        """Parse the headers within their time limit."""
+        reader = self.conn.rfile
+        reader.set_deadline(monotonic() + HEADER_TIMEOUT_S)
+        try:
+            super().parse_request()
+        finally:
+            reader.set_deadline(NEVER)
+
     def simple_response(self, status, msg=""):
         """Write and count a response with which cheroot rejects a request."""
         code = str(status).split(" ", 1)[0]
@@ -129,6 +149,7 @@
 
     def __init__(self, server, sock, makefile=None):
         super().__init__(server, sock, open_socket_file)
+        self.has_sent_data = False
 
 
 class AppGateway(Gateway):
@@ -136,25 +157,28 @@
 
     def respond(self):
         """Answer one request."""
+        body = RequestBody(self.req.server.held_bodies)
         try:
-            response = self.req.server.app.respond(self._read(), self.req)
+            response = self.req.server.app.respond(self._read(body), self.req)
         except BodyError as exc:
             self.req.server.counters.add(exc.reason)
             self.req.close_connection = True
             response = render_body_error(exc)
+        finally:
+            body.release()
         if response is None:
             self.req.close_connection = True
             return
         self._write(response)
 
-    def _read(self):
+    def _read(self, body):
         req = self.req
         headers = tuple(
             (name.decode("latin-1").lower(), value.decode("latin-1"))
             for name, value in req.inheaders.items()
         )
         method, uri = req.method.decode("latin-1"), req.uri.decode("latin-1")
-        return WebRequest(method, uri, headers, read_body(req))
+        return WebRequest(method, uri, headers, read_body(req, body))
 
     def _write(self, response):
         req = self.req
@@ -175,7 +199,11 @@
     problem = Problem(
         HTTP_STATUS[reason], reason.value, str(error), {"outcome": outcome}
     )
-    return problem.response(((OUTCOME, outcome), (REASON, reason.value)))
+    headers = [(OUTCOME, outcome), (REASON, reason.value)]
+    if isinstance(error, BodyMemoryError):
+        headers.append(MEMORY_RETRY_AFTER)
+        request_log.write("memory-refused", error=str(error))
+    return problem.response(tuple(headers))
 
 
 def _phrase(status):
@@ -214,12 +242,21 @@
         self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
         self.max_request_header_size = cfg.max_header_bytes
         self.max_request_body_size = cfg.max_body_bytes
+        self.held_bodies = HeldBodies(cfg.max_buffered_bytes)
 
     @property
     def port(self) -> int:
         """Port that the server listens on; valid after ``prepare``."""
         return self.bind_addr[1]
 
+    def process_conn(self, conn: CountingConnection) -> None:
+        """Give a connection to a thread, or wait for its first bytes without one."""
+        if conn.has_sent_data:
+            super().process_conn(conn)
+            return
+        conn.has_sent_data = True
+        self.put_conn(conn)
+
     def end_connections(self) -> None:
         """End each connection with its next response; any thread may call this."""
         self.keep_alive_conn_limit = 0
