Take a response with a status that HTTP does not have for a broken answer

Cause: the parser accepts any three digits. Without a length, the response went to the caller as it was (`0 Unknown`); with one, 000 and 099 were taken for interim responses, and the attempt timed out. Both clients of backend servers, the platform's and the own interface's, share the reader.

Change: the reader refuses statuses outside 100 to 599 with the head, so that the connection ends and the attempt is a broken answer, not a refusal. The test failed first for 000, 099, 600 and 999, with and without a length, at both clients.

--- a/src/monsoonmill/http1/parsing.py
+++ b/src/monsoonmill/http1/parsing.py
@@ -10,7 +10,7 @@
 )
 
 from monsoonmill.errors import HttpMessageTooLargeError, InvalidHttpMessageError
-from monsoonmill.model import HttpRequest, HttpResponse
+from monsoonmill.model import HttpRequest, HttpResponse, is_valid_status
 
 SWITCHING_PROTOCOLS = 101
 DEFAULT_HEADER_LINES = 5500
@@ -297,9 +297,12 @@
         The parser does not know the method, so that its connection is not kept.
         """
         super().on_headers_complete()
-        if self._parser.get_status_code() == SWITCHING_PROTOCOLS:
+        status = self._parser.get_status_code()
+        if not is_valid_status(status):
+            raise InvalidHttpMessageError(f"status {status}")
+        if status == SWITCHING_PROTOCOLS:
             raise InvalidHttpMessageError("upgrade that was not requested")
-        if self._is_bodiless and self._parser.get_status_code() >= 200:
+        if self._is_bodiless and status >= 200:
             self._append(False)
             self.is_idle = True
 
--- a/src/monsoonmill/model.py
+++ b/src/monsoonmill/model.py
@@ -233,6 +233,15 @@
     body: bytes = b""
 
 
+MIN_STATUS, MAX_STATUS = 100, 599
+"""Range of the statuses of HTTP responses, RFC 9110, section 15."""
+
+
+def is_valid_status(status: int) -> bool:
+    """Return whether a response may have the status."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
 @frozen
 class HttpResponse:
     """A complete response of a backend server."""
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -11,7 +11,7 @@
 from attrs import frozen
 
 from monsoonmill.clock import SystemClock
-from monsoonmill.decisions.calls.signals import RunCall
+from monsoonmill.decisions.calls.signals import RunCall, RunFailure
 from monsoonmill.errors import ProtocolError
 from monsoonmill.http1.client import BackendPool
 from monsoonmill.http1.messages import ConnectionLimits, encode_response
@@ -413,3 +413,23 @@
     resp = client.result().response
     timer.join()
     assert (resp.status, resp.body) == (200, BODY)
+
+
+# Without a length, the caller got `0 Unknown` and the body. With one, 000 and 099 were
+# taken for interim responses, so that the caller waited for its deadline.
+@pytest.mark.parametrize("length", [b"", b"Content-Length: 12\r\n"])
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+def test_status_that_http_does_not_have_is_a_broken_answer(client, status, length):
+    client.send()
+    head = START.replace(b"200 OK", status + b" Odd") % b"a"
+    client.server.sock.sendall(head + length + b"\r\n" + BODY)
+    if not length:
+        client.server.close()
+    finished = client.result()
+    assert finished.failure is RunFailure.BROKEN_ANSWER
+    assert finished.response is None
+    assert not finished.not_run
+    client.server.sock = None
+    client.send()
+    client.server.sock.sendall(ANSWERS["length"].wire(b"a"))
+    assert client.result().response.body == BODY
