Take a reply of a node with an invalid status for a broken answer

Change: the check of the body's digest also checks the status, and is called verify_response. The test failed first for -1, 0, 99, 600 and 999.

--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -18,7 +18,7 @@
 from monsoonmill.decisions.retries.retry_limiter import RetryLimiter
 from monsoonmill.decisions.signals import Send
 from monsoonmill.messages import Cancel, Load, Reply
-from monsoonmill.model import CallContext, Route
+from monsoonmill.model import CallContext, Route, is_valid_status
 from monsoonmill.reasons import Outcome, Reason, RetryReason
 from monsoonmill.settings import Settings
 
@@ -378,9 +378,15 @@
     return failure.outcome is Outcome.NOT_RUN and failure.reason in NODE_REFUSALS
 
 
-def verify_body(reply: Reply) -> Reply:
-    """Return a reply, turned into a failure if its body does not match its digest."""
-    if reply.response is None or xxh3_64_intdigest(reply.response.body) == reply.digest:
+def verify_response(reply: Reply) -> Reply:
+    """Return a reply, turned into a failure if its response is not a valid one.
+
+    Its status is one that HTTP has, and its body matches the digest.
+    """
+    resp = reply.response
+    if resp is None:
+        return reply
+    if is_valid_status(resp.status) and (xxh3_64_intdigest(resp.body) == reply.digest):
         return reply
     return evolve(
         reply, outcome=Outcome.UNKNOWN, reason=Reason.BROKEN_ANSWER, response=None
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -20,7 +20,7 @@
     CallController,
     DeferredEvent,
     is_node_refusal,
-    verify_body,
+    verify_response,
 )
 from monsoonmill.decisions.calls.call_checks import CallChecks
 from monsoonmill.decisions.calls.contexts import Contexts
@@ -242,7 +242,7 @@
         if call is None or call.node != signal.node:
             self.counters.add("late-replies")
             return
-        reply = verify_body(reply)
+        reply = verify_response(reply)
         self.close_attempt(call, reply, now, reply.load)
         call.rerun_cost = reply.load.work
         call.nested_overload_share = reply.load.strain
--- a/tests/test_cut_replies.py
+++ b/tests/test_cut_replies.py
@@ -8,7 +8,7 @@
 from xxhash import xxh3_64_intdigest
 
 from monsoonmill.codec_msgpack import MsgpackCodec
-from monsoonmill.decisions.calls.call import verify_body
+from monsoonmill.decisions.calls.call import verify_response
 from monsoonmill.messages import PEER_MESSAGES, Hello, Load, Reply
 from monsoonmill.model import Address, HttpResponse
 from monsoonmill.node.peer_stream import PeerStream, StreamDown, StreamMessage
@@ -90,7 +90,17 @@
 @pytest.mark.parametrize("size", range(len(BODY)))
 def test_reply_with_a_cut_body_is_a_broken_answer(size):
     reply = evolve(REPLY, response=evolve(REPLY.response, body=BODY[:size]))
-    verified = verify_body(reply)
+    verified = verify_response(reply)
+    assert verified.response is None
+    assert verified.reason is Reason.BROKEN_ANSWER
+    assert verified.outcome is Outcome.UNKNOWN
+
+
+# A node that does not check the status itself passed it on to the caller.
+@pytest.mark.parametrize("status", [-1, 0, 99, 600, 999])
+def test_reply_with_a_status_that_http_does_not_have_is_a_broken_answer(status):
+    reply = evolve(REPLY, response=evolve(REPLY.response, status=status))
+    verified = verify_response(reply)
     assert verified.response is None
     assert verified.reason is Reason.BROKEN_ANSWER
     assert verified.outcome is Outcome.UNKNOWN
