Leave the last slots of a backend server free with mixed objectives

A service that slows down when it is over 95% full stays slow under overload: the queue keeps it full, and the threshold follows the lower completions. Raising the threshold while the queue stands was tried and did not end the slow state.

--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -31,6 +31,12 @@
 MAX_HOLD_S = 0.5
 """Maximum time for which a slot is withheld after the backend server shed its
 attempt."""
+MAX_FILL = 0.95
+"""Share of the limit that is used where the configuration has mixed objectives. Some
+services there slow down when they are fuller, and the last slots then cost more
+capacity than they add."""
+MIN_FILLED_LIMIT = 20
+"""Lower limits are used in full, since one slot is more than a twentieth of them."""
 
 FOREGROUND = tuple(
     importance for importance in Importance if importance > Importance.BACKGROUND
@@ -178,7 +184,7 @@
         if self._has_slot(call.importance, now):
             yield self._start(call, now)
             return
-        if len(self._running) + len(self._withheld) >= self._limit.limit:
+        if len(self._running) + len(self._withheld) >= self._usable_limit():
             self._limit.record_full()
         self._update_queue_empty_at(now)
         refused = self._queue.offer(call)
@@ -268,7 +274,7 @@
         return Load(
             running=len(self._running),
             waiting=len(self._queue),
-            limit=max(self._limit.limit, 1),
+            limit=max(self._usable_limit(), 1),
             level=self._level.level,
         )
 
@@ -299,8 +305,15 @@
             None,
         )
 
-    def _has_slot(self, importance, now):
+    def _usable_limit(self):
+        """Return how many attempts may run; the last slots would slow down all runs."""
         limit = self._limit.limit
+        if self._controller is None or limit < MIN_FILLED_LIMIT:
+            return limit
+        return int(limit * MAX_FILL)
+
+    def _has_slot(self, importance, now):
+        limit = self._usable_limit()
         if len(self._running) + len(self._withheld) >= limit:
             return False
         if len(self._running) >= self._capacity.limit(limit, self._cfg.min_limit, now):
--- a/tests/test_chain_admission.py
+++ b/tests/test_chain_admission.py
@@ -19,10 +19,16 @@
     ThresholdController,
 )
 from monsoonmill.decisions.admission.fair_queue import FairQueue, QueuedCall
+from monsoonmill.decisions.admission.queued import QueuedAdmission
+from monsoonmill.decisions.admission.signals import AdmitCall
 from monsoonmill.decisions.calls.signals import Answer
+from monsoonmill.decisions.configuration.signals import ConfigChanged
+from monsoonmill.decisions.signals import BackendAnnounced
+from monsoonmill.model import Config
 from monsoonmill.platform.callers import CallerApp
 from monsoonmill.reasons import Importance, Outcome, Reason
-from tests.chain_load import ORGANISATIONS, SLOTS, ChainLoad, Kind
+from monsoonmill.settings import Settings
+from tests.chain_load import ORGANISATIONS, SLOTS, ChainLoad, Kind, make_config
 
 BACKGROUND, NORMAL = Importance.BACKGROUND, Importance.NORMAL
 OVERLOAD = 1.6
@@ -168,6 +174,20 @@
     assert order == ["high", "new", "middle"]
 
 
+def test_last_slots_of_a_server_stay_free_only_with_mixed_objectives():
+    for kinds, expected in ((CHAINS_FIRST, 23), ((CHAINS_FIRST[0],), 25)):
+        admission = QueuedAdmission.with_announced_slots(
+            Settings.from_dict({}).admission
+        )
+        changed = ConfigChanged(Config(), make_config(kinds))
+        assert not list(admission.on_config_changed(changed, 1.0))
+        list(admission.on_backend_announced(BackendAnnounced("stock", None, 25), 1.0))
+        for number in range(30):
+            call = AdmitCall(f"a{number}", "r", "a", NORMAL, 9.0)
+            list(admission.on_admit_call(call, 1.0))
+        assert admission.load().running == admission.load().limit == expected
+
+
 def test_one_noisy_window_does_not_close_a_class():
     controller = ThresholdController()
     for number in range(200):
