--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -36,6 +36,12 @@
 MAX_HOLD_S = 0.5
 """Maximum time for which a slot is withheld after the backend server shed its
 attempt."""
+MAX_FILL = 0.95
+"""Share of the limit that is used where the configuration has mixed objectives. Some
+services there slow down when they are fuller, and the last slots then cost more
+capacity than they add."""
+MIN_FILLED_LIMIT = 20
+"""Lower limits are used in full, since one slot is more than a twentieth of them."""
 
 FOREGROUND = tuple(
     importance for importance in Importance if importance > Importance.BACKGROUND
@@ -282,7 +288,7 @@
         if self._has_slot(call.importance, now):
             yield self._start(call, now)
             return
-        if len(self._running) + len(self._withheld) >= self._limit.limit:
+        if len(self._running) + len(self._withheld) >= self._usable_limit():
             self._limit.record_full()
             if self._limit.is_reduced:
                 self._counters.add(PACE_LIMITED)
@@ -389,7 +395,7 @@
         While the server is cold, the limit is the number of requests that it has at
         the rate it accepts.
         """
-        limit = self._limit.limit
+        limit = self._usable_limit()
         if self._cold.is_cold(self._handled_at):
             limit = min(limit, self._cold.concurrency(self._latency.mean_s))
         return Load(
@@ -433,10 +439,17 @@
             None,
         )
 
+    def _usable_limit(self):
+        """Return how many attempts may run; the last slots would slow down all runs."""
+        limit = self._limit.limit
+        if self._controller is None or limit < MIN_FILLED_LIMIT:
+            return limit
+        return int(limit * MAX_FILL)
+
     def _has_slot(self, importance, now):
         if not self._cold.may_send(now):
             return False
-        limit = self._limit.limit
+        limit = self._usable_limit()
         if len(self._running) + len(self._withheld) >= limit:
             return False
         if len(self._running) >= self._capacity.limit(limit, self._cfg.min_limit, now):
