Pass a call's signals with fewer generator layers

Cause: each signal of a call went through up to five nested generators (task, core, bus, handler, outbox), and the bus updated the set of outdated timers for decisions that have none.

The task contains errors around one loop, the core returns the bus's generator, and the handlers that drive a chart return the signals as a list. The order of handling is the same: the bus has always consumed a handler's signals before the next one.

--- a/src/monsoonmill/chart.py
+++ b/src/monsoonmill/chart.py
@@ -333,7 +333,7 @@
                 self.state = step.state
             if step.callback is not None:
                 step.callback(owner, arg)
-        if self.finished:
+        if self.state in self._bound.final_states:
             # The owner refers to its instance. Without this the two would stay in
             # memory, with the owner's data, until the garbage collector runs.
             self._owner = None
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -142,50 +142,47 @@
             call = self._checks.check_call(signal, self, now)
         except CallRefusedError as exc:
             self.counters.add(exc.reason)
-            yield Answer(
+            answer = Answer(
                 signal.call,
                 Outcome.NOT_RUN,
                 reason=exc.reason,
                 detail=exc.detail,
                 retry_after_s=exc.retry_after_s,
             )
-            yield self._report_refused(signal, exc)
-            return
+            return (answer, self._report_refused(signal, exc))
         self._calls[call.name] = call
         self._timers.set(call.name, call.context.deadline)
         if call.parent or call.caller.key:
             self.retry_limiter.deposit(call.route.service)
         call.chart = CALL_CHART.start(call)
-        yield from self._dispatch(call.name, "accepted", now)
+        return self._dispatch(call.name, "accepted", now)
 
     def on_caller_disconnected(self, signal, now):
         """End a call whose caller has disconnected."""
-        yield from self._dispatch(signal.call, "caller_disconnected", now)
+        return self._dispatch(signal.call, "caller_disconnected", now)
 
     def on_token_granted(self, signal, now):
         """Continue a call that has its token, or return the token if it has ended."""
         call = self._calls.get(signal.call)
         if call is not None:
             call.token_organisation = signal.organisation
-            yield from self._dispatch(signal.call, "token_granted", now)
-        elif signal.organisation:
-            yield TokenReturned(signal.organisation)
+            return self._dispatch(signal.call, "token_granted", now)
+        return (TokenReturned(signal.organisation),) if signal.organisation else ()
 
     def on_token_denied(self, signal, now):
         """End a call that is over its organisation's rate limit."""
-        yield from self._dispatch(signal.call, "token_denied", now, signal)
+        return self._dispatch(signal.call, "token_denied", now, signal)
 
     def on_claim_granted(self, signal, now):
         """Continue a call that has its claim, or release the claim if it has ended."""
         if signal.call not in self._calls:
             # The call ended while it waited for the claim, so it never ran.
-            yield ClaimedCallEnded(signal.call, Outcome.NOT_RUN)
-            return
-        yield from self._dispatch(signal.call, "claim_granted", now)
+            return (ClaimedCallEnded(signal.call, Outcome.NOT_RUN),)
+        return self._dispatch(signal.call, "claim_granted", now)
 
     def on_claim_denied(self, signal, now):
         """End a call whose claim is denied."""
-        yield from self._dispatch(signal.call, "claim_denied", now, signal)
+        return self._dispatch(signal.call, "claim_denied", now, signal)
 
     # Attempts.
     def start_attempt(self, call: Call) -> None:
@@ -241,7 +238,7 @@
         call = self._attempts.get(reply.attempt)
         if call is None or call.node != signal.node:
             self.counters.add("late-replies")
-            return
+            return ()
         reply = verify_body(reply)
         self.close_attempt(call, reply, now, reply.load)
         call.rerun_cost = reply.load.work
@@ -250,11 +247,10 @@
             self._amplification.record_nested_call(reply.load.work)
         call.reclaim_retries(reply.tries)
         if reply.response is not None and reply.reason is None:
-            yield from self._dispatch(call.name, "attempt_succeeded", now, reply)
-            return
+            return self._dispatch(call.name, "attempt_succeeded", now, reply)
         reason = reply.reason or Reason.INTERNAL
         call.failure = AttemptFailure(reply.outcome, reason, reply.retry_after_s)
-        yield from self._handle_failure(call, now)
+        return self._handle_failure(call, now)
 
     def on_peer_down(self, signal, now):
         """Fail the attempts at a node whose stream was lost; they may have run."""
@@ -281,7 +277,7 @@
         call.may_have_run |= call.failure.outcome is not Outcome.NOT_RUN
         if call.may_have_run:
             call.failure = evolve(call.failure, outcome=Outcome.UNKNOWN)
-        yield from self._dispatch(call.name, "attempt_failed", now)
+        return self._dispatch(call.name, "attempt_failed", now)
 
     def close_attempt(
         self,
@@ -341,26 +337,30 @@
 
     # Charts.
     def _dispatch(self, name, event, now, arg=None):
+        """Send an event to a call's chart and return the signals that follow."""
         call = self._calls.get(name)
         if call is None:
-            return
+            return ()
         call.now = now
         call.chart.send(event, arg)
-        yield from self._drain_outbox(call, now)
+        return self._drain_outbox(call, now)
 
     def _drain_outbox(self, call, now):
+        signals = []
         while call.outbox:
-            signals, call.outbox = call.outbox, []
-            for signal in signals:
-                if isinstance(signal, DeferredEvent):
+            outbox, call.outbox = call.outbox, []
+            for signal in outbox:
+                cls = type(signal)
+                if cls is DeferredEvent:
                     call.chart.send(signal.event, signal.arg)
                     continue
-                if isinstance(signal, Answer):
+                if cls is Answer:
                     self._close_call(call, signal, now)
-                    yield self._report(call, signal, now)
+                    signals.append(self._report(call, signal, now))
                     if call.token_organisation and signal.outcome is Outcome.NOT_RUN:
-                        yield TokenReturned(call.token_organisation)
-                yield signal
+                        signals.append(TokenReturned(call.token_organisation))
+                signals.append(signal)
+        return signals
 
     def _report_refused(self, arrival, exc):
         req = arrival.request
--- a/src/monsoonmill/decisions/calls/executions.py
+++ b/src/monsoonmill/decisions/calls/executions.py
@@ -146,7 +146,7 @@
         forward = signal.message
         if forward.attempt in self._executions or forward.attempt in self._finished:
             self.counters.add("repeated-attempts")
-            return
+            return ()
         deadline = now + forward.timeout_ms / 1000
         execution = Execution(
             signal.node,
@@ -164,9 +164,8 @@
         except CallRefusedError as exc:
             self.counters.add(exc.reason)
             refusal = NotAdmitted(forward.attempt, exc.reason, exc.retry_after_s)
-            yield from self._dispatch(forward.attempt, "refused", now, refusal)
-            return
-        yield from self._dispatch(forward.attempt, "accepted", now)
+            return self._dispatch(forward.attempt, "refused", now, refusal)
+        return self._dispatch(forward.attempt, "accepted", now)
 
     def _check(self, forward, now):
         if self.backend_address is None or forward.service != self._service:
@@ -185,14 +184,16 @@
         execution = self._executions.get(signal.message.attempt)
         if execution is not None and execution.sender == signal.node:
             self.counters.add("cancelled-attempts")
-            yield from self._dispatch(signal.message.attempt, "cancelled", now)
+            return self._dispatch(signal.message.attempt, "cancelled", now)
+        return ()
 
     def on_admitted(self, signal, now):
         """Run an attempt that has a slot, unless its deadline or API key has lapsed."""
         execution = self._executions.get(signal.attempt)
-        if execution is not None:
-            event = self._event_on_admission(execution, now)
-            yield from self._dispatch(signal.attempt, event, now)
+        if execution is None:
+            return ()
+        event = self._event_on_admission(execution, now)
+        return self._dispatch(signal.attempt, event, now)
 
     def _event_on_admission(self, execution, now):
         if now >= execution.deadline:
@@ -206,7 +207,7 @@
     def on_not_admitted(self, signal, now):
         """Refuse an attempt that is not admitted."""
         self.counters.add(signal.reason)
-        yield from self._dispatch(signal.attempt, "not_admitted", now, signal)
+        return self._dispatch(signal.attempt, "not_admitted", now, signal)
 
     def on_run_finished(self, signal, now):
         """Reply with the result of a run."""
@@ -234,17 +235,18 @@
                 yield SuspectAnswered(fingerprint)
 
     def _dispatch(self, attempt, event, now, arg=None):
+        """Send an event to an attempt's chart and return the signals that follow."""
         execution = self._executions.get(attempt)
         if execution is None:
-            return
+            return ()
         execution.now = now
         execution.chart.send(event, arg)
         if execution.chart.finished:
             del self._executions[attempt]
             self._remember_finished(attempt)
             self._timers.cancel(attempt)
-        yield from execution.outbox
-        execution.outbox.clear()
+        signals, execution.outbox = execution.outbox, []
+        return signals
 
     def _remember_finished(self, attempt):
         self._finished[attempt] = None
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -1,6 +1,6 @@
 """All decisions of one node, connected by a signal bus."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from random import Random
 
 from monsoonmill.codec import ConfigCodec
@@ -163,12 +163,11 @@
             for signal in list(decision.start(now)):
                 yield from self._bus.handle(signal, now)
 
-    def handle(self, signal: object, now: float) -> Iterator[object]:
-        """Handle a signal, and yield those that tasks have to execute."""
+    def handle(self, signal: object, now: float) -> Iterable[object]:
+        """Handle a signal, and return those that tasks have to execute."""
         if isinstance(signal, StatusRequested):
-            yield StatusReport(signal.request, self.report(signal.topic))
-        else:
-            yield from self._bus.handle(signal, now)
+            return (StatusReport(signal.request, self.report(signal.topic)),)
+        return self._bus.handle(signal, now)
 
     def tick(self, now: float) -> Iterator[object]:
         """Run the decisions whose timers are due."""
--- a/src/monsoonmill/decisions/decision.py
+++ b/src/monsoonmill/decisions/decision.py
@@ -64,11 +64,12 @@
         self._due_times = dict.fromkeys(self._timed, inf)
         self._stale = set(self._timed)
         self._handlers: dict[type, list[Handler]] = {}
-        self._owners: dict[type, set[Decision]] = {}
+        self._timed_owners: dict[type, set[Decision]] = {}
         for decision in self.decisions:
             for cls, handler in decision.handlers().items():
                 self._handlers.setdefault(cls, []).append(handler)
-                self._owners.setdefault(cls, set()).add(decision)
+                if decision in self._due_times:
+                    self._timed_owners.setdefault(cls, set()).add(decision)
 
     def handle(self, signal: object, now: float) -> Iterator[object]:
         """Handle a signal, and yield those that tasks have to execute."""
@@ -88,7 +89,8 @@
                 continue
             for handler in handlers:
                 extend(handler(current, now))
-            self._stale |= self._owners[cls]
+            if cls in self._timed_owners:
+                self._stale |= self._timed_owners[cls]
 
     def mark_stale(self, decision: Decision) -> None:
         """Mark the recorded due time of a decision as outdated."""
--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -287,14 +287,14 @@
                 return False
             if isinstance(message, TaskRequest):
                 self._reply_inboxes[message.name] = message.reply
-                self._handle_signals((message.signal,), now)
+                self._handle_signal(message.signal, now)
                 if self._is_drained:
                     self._drop_requests()
                 continue
             if isinstance(message, WorkerIdle):
                 self._run_pool.on_worker_idle(message)
                 message = message.finished
-            self._handle_signals((message,), now)
+            self._handle_signal(message, now)
         return True
 
     def _serve_channel(self, channel, mask, now):
@@ -321,23 +321,24 @@
             self._report_failure(self._core, exc)
             log.traceback()
 
-    def _contain_errors(self, signals: Iterable[object]):
-        """Yield signals until raising the next one fails, which is logged."""
+    def _handle_signals(self, signals: Iterable[object], now):
+        """Handle signals until producing the next one fails, which is logged."""
         try:
-            yield from signals
+            for signal in signals:
+                self._handle_signal(signal, now)
         except Exception as exc:
             self._report_failure(signals, exc)
             log.traceback()
 
-    def _handle_signals(self, signals: Iterable[object], now):
-        for signal in self._contain_errors(signals):
-            try:
-                self._execute(self._core.handle(signal, now), now)
-            except MonsoonError as exc:
-                self._report_failure(signal, exc)
-            except Exception as exc:
-                self._report_failure(signal, exc)
-                log.traceback()
+    def _handle_signal(self, signal: object, now):
+        """Handle a signal; any error is logged, so that the next signal follows."""
+        try:
+            self._execute(self._core.handle(signal, now), now)
+        except MonsoonError as exc:
+            self._report_failure(signal, exc)
+        except Exception as exc:
+            self._report_failure(signal, exc)
+            log.traceback()
 
     def _execute(self, signals: Iterable[object], now):
         for signal in signals:
