Set the fields of a call's values without object.__setattr__

Cause: attrs.frozen sets each field through object.__setattr__; about a hundred fields of messages and signals are set for a call. The attrs documentation names this cost.

The classes that are created with each call are frozen for type checkers and in the tests (also in the processes that tests start), where an assignment to a field is an error. Ruled out: classes that are never frozen, since then nothing would detect a handler that changes a signal.

--- a/src/monsoonmill/decisions/calls/authorization.py
+++ b/src/monsoonmill/decisions/calls/authorization.py
@@ -3,7 +3,7 @@
 from hashlib import sha256
 from random import Random
 
-from attrs import evolve, frozen
+from attrs import evolve
 
 from monsoonmill.decisions.calls.signals import CallArrived
 from monsoonmill.decisions.configuration.signals import ConfigChanged
@@ -12,6 +12,7 @@
 from monsoonmill.model import OPEN_ORGANISATION, Config, Route
 from monsoonmill.notes import digest_key
 from monsoonmill.reasons import Importance, Reason
+from monsoonmill.value_classes import frozen
 
 FINGERPRINT_BYTES = 8
 
--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 from xxhash import xxh3_64_intdigest
 
 from monsoonmill.chart import ChartInstance, bind_methods
@@ -21,6 +21,7 @@
 from monsoonmill.model import CallContext, Route
 from monsoonmill.reasons import Outcome, Reason, RetryReason
 from monsoonmill.settings import Settings
+from monsoonmill.value_classes import frozen
 
 RETRY_COUNTERS = {
     Reason.UNREACHABLE: RetryReason.UNREACHABLE,
--- a/src/monsoonmill/decisions/calls/signals.py
+++ b/src/monsoonmill/decisions/calls/signals.py
@@ -2,10 +2,9 @@
 
 from enum import Enum, unique
 
-from attrs import frozen
-
 from monsoonmill.model import Address, HttpRequest, HttpResponse
 from monsoonmill.reasons import Outcome, Reason
+from monsoonmill.value_classes import frozen
 
 
 @frozen
--- a/src/monsoonmill/decisions/health/signals.py
+++ b/src/monsoonmill/decisions/health/signals.py
@@ -1,8 +1,7 @@
 """Signals of attempts, from which the health of nodes is determined."""
 
-from attrs import frozen
-
 from monsoonmill.reasons import Outcome, Reason
+from monsoonmill.value_classes import frozen
 
 
 @frozen
--- a/src/monsoonmill/decisions/quota/signals.py
+++ b/src/monsoonmill/decisions/quota/signals.py
@@ -1,6 +1,6 @@
 """Signals about tokens and slices."""
 
-from attrs import frozen
+from monsoonmill.value_classes import frozen
 
 
 @frozen
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -4,9 +4,8 @@
 node's core and is executed by a task.
 """
 
-from attrs import frozen
-
 from monsoonmill.model import Address
+from monsoonmill.value_classes import frozen
 
 
 @frozen
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -1,6 +1,6 @@
 """Messages that nodes exchange over their streams."""
 
-from attrs import field, frozen
+from attrs import field
 
 from monsoonmill.claim_messages import (
     ClaimCopyWanted,
@@ -40,6 +40,7 @@
     TokenReturn,
 )
 from monsoonmill.reasons import Importance, Outcome, Reason
+from monsoonmill.value_classes import frozen
 
 
 @frozen
--- a/src/monsoonmill/model.py
+++ b/src/monsoonmill/model.py
@@ -2,9 +2,10 @@
 
 from enum import Enum, unique
 
-from attrs import field, frozen
+from attrs import field
 
 from monsoonmill.reasons import Importance
+from monsoonmill.value_classes import frozen
 
 OPEN_ORGANISATION = "(open)"
 """Organisation to which calls without a key on open routes are attributed."""
--- a/src/monsoonmill/node/peer_stream.py
+++ b/src/monsoonmill/node/peer_stream.py
@@ -3,8 +3,6 @@
 from os import strerror
 from socket import IPPROTO_TCP, SOCK_STREAM, TCP_NODELAY, socket
 
-from attrs import frozen
-
 from monsoonmill.chart import bind_methods
 from monsoonmill.codec import Codec
 from monsoonmill.errors import MissingHelloError, ProtocolError
@@ -24,6 +22,7 @@
 from monsoonmill.node.send_queue import SendQueue
 from monsoonmill.node.traffic_ledger import TrafficLedger
 from monsoonmill.settings import PeerSettings
+from monsoonmill.value_classes import frozen
 
 RECENT_USE_S = 0.3
 """A stream used within this time is pinged at each heartbeat interval."""
--- a/src/monsoonmill/node/send_queue.py
+++ b/src/monsoonmill/node/send_queue.py
@@ -3,10 +3,11 @@
 from collections import deque
 from itertools import count
 
-from attrs import define, frozen
+from attrs import define
 
 from monsoonmill.codec import Codec
 from monsoonmill.messages import Part
+from monsoonmill.value_classes import frozen
 
 SHORT_FRAMES_PER_PART = 16
 """Maximum number of short frames sent between two parts of long messages."""
