--- a/src/monsoonmill/node/task.py
+++ b/src/monsoonmill/node/task.py
@@ -32,7 +32,8 @@
 from monsoonmill.node.decision_log import DecisionLog
 from monsoonmill.node.egress import RunPool, WorkerIdle
 from monsoonmill.node.event_batching import EventBatcher
-from monsoonmill.node.network import Channel, NetworkComponent, SignalHandler
+from monsoonmill.node.network import NetworkComponent, SignalHandler
+from monsoonmill.node.peer_stream import PeerStream
 from monsoonmill.node.peer_transport import PeerTransport
 from monsoonmill.node.waker import Waker
 from monsoonmill.reasons import Reason
@@ -223,10 +224,10 @@
                 self._waker.clear()
             elif key.data is self._transport:
                 self._accept_peers(now)
-            elif isinstance(key.data, Channel):
-                self._handle_signals(self._serve_channel(key.data, mask, now), now)
-            else:
+            elif isinstance(key.data, PeerStream):
                 self._handle_signals(self._transport.on_ready(key.data, mask, now), now)
+            else:
+                self._handle_signals(self._serve_channel(key.data, mask, now), now)
         is_running = self._process_messages(now)
         if self._next_due <= now:
             self._handle_core_tick(now)
@@ -287,14 +288,14 @@
                 return False
             if isinstance(message, TaskRequest):
                 self._reply_inboxes[message.name] = message.reply
-                self._handle_signals((message.signal,), now)
+                self._handle_signal(message.signal, now)
                 if self._is_drained:
                     self._drop_requests()
                 continue
             if isinstance(message, WorkerIdle):
                 self._run_pool.on_worker_idle(message)
                 message = message.finished
-            self._handle_signals((message,), now)
+            self._handle_signal(message, now)
         return True
 
     def _serve_channel(self, channel, mask, now):
@@ -321,23 +322,24 @@
             self._report_failure(self._core, exc)
             log.traceback()
 
-    def _contain_errors(self, signals: Iterable[object]):
-        """Yield signals until raising the next one fails, which is logged."""
+    def _handle_signals(self, signals: Iterable[object], now):
+        """Handle signals until producing the next one fails, which is logged."""
         try:
-            yield from signals
+            for signal in signals:
+                self._handle_signal(signal, now)
         except Exception as exc:
             self._report_failure(signals, exc)
             log.traceback()
 
-    def _handle_signals(self, signals: Iterable[object], now):
-        for signal in self._contain_errors(signals):
-            try:
-                self._execute(self._core.handle(signal, now), now)
-            except MonsoonError as exc:
-                self._report_failure(signal, exc)
-            except Exception as exc:
-                self._report_failure(signal, exc)
-                log.traceback()
+    def _handle_signal(self, signal: object, now):
+        """Handle a signal; any error is logged, so that the next signal follows."""
+        try:
+            self._execute(self._core.handle(signal, now), now)
+        except MonsoonError as exc:
+            self._report_failure(signal, exc)
+        except Exception as exc:
+            self._report_failure(signal, exc)
+            log.traceback()
 
     def _execute(self, signals: Iterable[object], now):
         for signal in signals:
