Check that a ramp comes down, and that rejected requests free their place

Three changes of the code that the tests should have found were not found: counting requests that the server rejected, not lowering the limit, and lowering it for ever when the server is slow for another reason.

--- a/tests/test_cold_limit.py
+++ b/tests/test_cold_limit.py
@@ -62,10 +62,11 @@
 def test_requests_that_the_server_rejects_as_misdirected_do_not_count():
     driver = AdmissionDriver(CONFIG)
     driver.announce(cold_left_ms=5000)
-    driver.respond = lambda now: MISDIRECTED if now < 1.0 else {}
+    driver.respond = lambda now: MISDIRECTED if now < 2.5 else {}
     driver.flood(4.0, 1000)
     driver.events.run_until(4.0)
-    assert driver.count_sent(1.0, 1.2) >= 5, "rejected requests were counted"
+    assert driver.count_sent(1.3, 2.3) > BOUND, "rejected requests were counted"
+    assert driver.count_sent(2.5, 2.7) >= 5
     assert driver.most_in_a_second() <= BOUND
 
 
--- a/tests/test_server_pace.py
+++ b/tests/test_server_pace.py
@@ -87,7 +87,9 @@
     driver.flood(8.0, 400)
     driver.events.run_until(8.0)
     late = [limit for at, limit in driver.limits if at > 4.0]
-    assert 2 <= min(late) <= max(late) <= 12
+    # The limit comes down to what the server takes, and is raised by a step at most.
+    assert 2 <= min(late) <= 7
+    assert max(late) <= 12
 
 
 @pytest.mark.parametrize(
@@ -102,7 +104,7 @@
 
 def test_server_that_is_slow_for_another_reason_still_gets_all_its_slots():
     driver = run(
-        lambda driver: LATENCY_S * (2.5 if driver.now > 6.0 else 1.0),
+        lambda driver: LATENCY_S * (2.5 if driver.now > 7.4 else 1.0),
         16.0,
         actions=[(7.0, restart)],
     )
