Let equal servers share the calls when they are placed by pace

In a trial with real nodes and two stand-in servers of equal speed, the one whose mean latency was slightly lower got nearly all calls while it had free slots. The load now has a small weight in the comparison also below the limit.

--- a/src/monsoonmill/decisions/routing/pace_placement.py
+++ b/src/monsoonmill/decisions/routing/pace_placement.py
@@ -31,6 +31,10 @@
 than the same time at a slow server, since the reports are old when the call arrives.
 With 1, a fifth of the calls waited for over 60 ms at four modelled servers at 0.9 of
 their capacity, one of them slowed at times; with 2, a thirtieth."""
+LOAD_WEIGHT = 0.3
+"""Weight of the load of a server in the comparison of two, also if it is not busy. It
+outweighs differences of the estimates of up to a third, so that equal servers share the
+calls, and not that of the slowest servers, a factor of 2 to 3."""
 MEDIAN_TTL_S = 0.1
 """Time for which the median latency of a service is used; a report changes a mean by
 a twentieth of a run's difference."""
@@ -106,8 +110,8 @@
     @property
     def cost(self) -> tuple[float, float]:
         """Cost by which candidates are compared; the load decides between equals."""
-        wait_factor = max(self.load, 1.0) ** WAIT_EXPONENT
-        return self.latency_s * wait_factor + 2 * self.distance_s, self.load
+        factor = max(self.load, 1.0) ** WAIT_EXPONENT + LOAD_WEIGHT * self.load
+        return self.latency_s * factor + 2 * self.distance_s, self.load
 
 
 class PacePlacement(PlacementPolicy):
