Keep reported thresholds by replying service

A chain that calls a scarce service and an ample one in turn got the average of their thresholds, since both were smoothed under the parent's route. The highest of the services now counts, and routes that split their traffic are limited for each service.

--- a/src/monsoonmill/decisions/admission/chain_admission.py
+++ b/src/monsoonmill/decisions/admission/chain_admission.py
@@ -70,6 +70,8 @@
 to 0 after ``FORGET_S``. Routes with a few calls per second keep theirs."""
 MAX_ROUTES = 10_000
 """Number of routes tracked; the table is cleared when it would exceed this."""
+MAX_SERVICES = 32
+"""Number of services tracked for a route; handled in the same way."""
 
 MAX_WAIT_SHARE = 1 / 3
 """Share of a caller's remaining time that callers are willing to wait."""
@@ -267,49 +269,77 @@
 
 
 @define
-class RouteThreshold:
-    """Smoothed threshold of the replies on one route."""
+class ReportedThreshold:
+    """Smoothed threshold of the replies of a service's nodes to calls of one route.
+
+    Attributes
+    ----------
+    value : float
+        Threshold at the time of the last reply.
+    reported_at : float
+        Time of the last reply in seconds.
+    """
 
     value: float
     reported_at: float
 
+    def record(self, threshold: int, now: float) -> None:
+        """Record the threshold of a reply."""
+        value = self.decayed(now)
+        # Without this, the average would approach 0 and never reach it.
+        is_low = not threshold and value < 1
+        weight = min(SMOOTHING + (now - self.reported_at) / SMOOTHING_S, 1.0)
+        self.value = 0.0 if is_low else value + weight * (threshold - value)
+        self.reported_at = now
+
+    def decayed(self, now: float) -> float:
+        """Return the current threshold; it decays without further replies."""
+        age_s = now - self.reported_at
+        if age_s <= FRESH_S:
+            return self.value
+        return self.value * max(FORGET_S - age_s, 0.0) / (FORGET_S - FRESH_S)
+
 
 class RouteThresholds:
-    """Thresholds that replies reported, by route; they decay without replies."""
+    """Thresholds that replies reported, by route and replying service."""
 
     def __init__(self):
-        self._routes: dict[str, RouteThreshold] = {}
+        self._routes: dict[str, dict[str, ReportedThreshold]] = {}
 
-    def record(self, route: str, threshold: int, now: float) -> None:
+    def record(self, route: str, service: str, threshold: int, now: float) -> None:
         """Record the threshold of a reply."""
-        entry = self._routes.get(route)
-        if entry is None:
+        services = self._routes.get(route)
+        if services is None:
             if not threshold:
                 return
             if len(self._routes) >= MAX_ROUTES:
                 self._routes.clear()
-            entry = self._routes[route] = RouteThreshold(0.0, now)
-        value = self._decayed(entry, now)
-        # Without this, the average would approach 0 and never reach it.
-        is_low = not threshold and value < 1
-        weight = min(SMOOTHING + (now - entry.reported_at) / SMOOTHING_S, 1.0)
-        entry.value = 0.0 if is_low else value + weight * (threshold - value)
-        entry.reported_at = now
-
-    def value(self, route: str, now: float) -> float:
-        """Return the current threshold of a route; 0 to admit all calls."""
-        entry = self._routes.get(route)
-        return self._decayed(entry, now) if entry is not None else 0.0
-
-    def _decayed(self, entry, now):
-        age_s = now - entry.reported_at
-        if age_s <= FRESH_S:
-            return entry.value
-        return entry.value * max(FORGET_S - age_s, 0.0) / (FORGET_S - FRESH_S)
+            services = self._routes[route] = {}
+        entry = services.get(service)
+        if entry is not None:
+            entry.record(threshold, now)
+        elif threshold:
+            if len(services) >= MAX_SERVICES:
+                services.clear()
+            entry = services[service] = ReportedThreshold(0.0, now)
+            entry.record(threshold, now)
+
+    def value(self, route: str, service: str, now: float) -> float:
+        """Return the threshold of a route's calls to a service; 0 to admit all."""
+        services = self._routes.get(route)
+        entry = services.get(service) if services else None
+        return entry.decayed(now) if entry is not None else 0.0
+
+    def highest(self, route: str, now: float) -> float:
+        """Return the highest threshold of the services called for a route."""
+        services = self._routes.get(route)
+        if not services:
+            return 0.0
+        return max(entry.decayed(now) for entry in services.values())
 
     def snapshot(self, now: float) -> dict[str, int]:
-        """Return the thresholds above 0, for operators."""
-        values = {name: round(self.value(name, now)) for name in self._routes}
+        """Return the thresholds above 0 by route, for operators."""
+        values = {name: round(self.highest(name, now)) for name in self._routes}
         return {name: value for name, value in values.items() if value}
 
 
--- a/src/monsoonmill/decisions/admission/entry_limit.py
+++ b/src/monsoonmill/decisions/admission/entry_limit.py
@@ -57,12 +57,15 @@
 
     Attributes
     ----------
+    service : str
+        Service that receives the call.
     fingerprint : int
         Digest of host, method, path and body.
     deadline : float
         Time in seconds after which the response is not needed.
     """
 
+    service: str = ""
     request_id: str = ""
     fingerprint: int = 0
     deadline: float = float("inf")
@@ -101,8 +104,10 @@
         """
 
     @abstractmethod
-    def record_threshold(self, route: str, threshold: int, now: float) -> None:
-        """Record the threshold standing that a reply reported for a route."""
+    def record_threshold(
+        self, route: str, service: str, threshold: int, now: float
+    ) -> None:
+        """Record the threshold standing that a service's reply reported."""
 
     @abstractmethod
     def record_refusal(
@@ -128,7 +133,7 @@
 class UnrankedEntryLimit(EntryLimit):
     """Base of the limits that do not distinguish calls of the same route."""
 
-    def record_threshold(self, route, threshold, now):
+    def record_threshold(self, route, service, threshold, now):
         """Do nothing."""
 
     def record_refusal(self, fingerprint, rank, wait_s, now):
@@ -269,7 +274,7 @@
         rank, is_returning = self._returning.derive_rank(
             root.fingerprint, root.request_id, importance, now
         )
-        threshold = self._thresholds.value(route, now)
+        threshold = self._thresholds.value(route, root.service, now)
         if standing(importance, rank) >= threshold:
             if is_returning:
                 self._counters.add("returning-admitted")
@@ -286,10 +291,10 @@
     def record_result(self, route: str, lost: float, now: float) -> None:
         """Do nothing, since the limit follows the reported thresholds."""
 
-    def record_threshold(self, route, threshold, now):
-        """Record the threshold standing that a reply reported for a route."""
+    def record_threshold(self, route, service, threshold, now):
+        """Record the threshold standing that a service's reply reported."""
         self._now = now
-        self._thresholds.record(route, threshold, now)
+        self._thresholds.record(route, service, threshold, now)
 
     def record_refusal(self, fingerprint, rank, wait_s, now):
         """Record that an admitted call was refused later and may return."""
@@ -339,9 +344,9 @@
         """Count the end of a call."""
         self._limit.record_result(route, lost, now)
 
-    def record_threshold(self, route, threshold, now):
-        """Record the threshold standing that a reply reported for a route."""
-        self._limit.record_threshold(route, threshold, now)
+    def record_threshold(self, route, service, threshold, now):
+        """Record the threshold standing that a service's reply reported."""
+        self._limit.record_threshold(route, service, threshold, now)
 
     def record_refusal(self, fingerprint, rank, wait_s, now):
         """Record that an admitted call was refused later and may return."""
--- a/src/monsoonmill/decisions/calls/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -78,7 +78,9 @@
         if context.deadline <= now:
             raise CallRefusedError(Reason.DEADLINE)
         if caller.key and not is_nested:
-            root = RootCall(arrival.request_id, fingerprint, context.deadline)
+            root = RootCall(
+                route.service, arrival.request_id, fingerprint, context.deadline
+            )
             rank = self._entry_limit.admit(route.name, context.importance, now, root)
             context = evolve(context, rank=rank)
         self._thread_limit.acquire(context.importance, is_nested)
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -300,10 +300,12 @@
         yield from self._handle_failure(call, now)
 
     def _record_threshold(self, call, threshold, now):
+        service = call.route.service
         if not call.is_nested:
-            self._entry_limit.record_threshold(call.route.name, threshold, now)
+            self._entry_limit.record_threshold(call.route.name, service, threshold, now)
         elif call.parent_route:
-            self._nested_thresholds.record(call.parent_route, threshold, now)
+            # Replies of other services must not outweigh those of a scarce one.
+            self._nested_thresholds.record(call.parent_route, service, threshold, now)
 
     def on_peer_down(self, signal, now):
         """Fail the attempts at a node whose stream was lost; they may have run."""
--- a/src/monsoonmill/decisions/calls/executions.py
+++ b/src/monsoonmill/decisions/calls/executions.py
@@ -117,7 +117,7 @@
         """
         if not self._authorization.has_mixed_objectives:
             return 0
-        nested = round(self._nested_thresholds.value(route, now))
+        nested = round(self._nested_thresholds.highest(route, now))
         return max(self.admission.threshold(now), nested)
 
     @property
--- a/tests/test_chain_admission.py
+++ b/tests/test_chain_admission.py
@@ -200,8 +200,11 @@
 def test_threshold_of_a_route_decays_within_a_second_without_replies():
     thresholds = RouteThresholds()
     for number in range(50):
-        thresholds.record("view", 40, 10.0 + number / 100)
-    values = [thresholds.value("view", 10.5 + age) for age in (0.0, 0.4, 0.7, 1.0)]
+        # Replies of another service do not lower the threshold.
+        for service, threshold in (("stock", 40), ("ample", 0)):
+            thresholds.record("view", service, threshold, 10.0 + number / 100)
+    values = [thresholds.highest("view", 10.5 + age) for age in (0.0, 0.4, 0.7, 1.0)]
+    assert thresholds.value("view", "ample", 10.5) == 0
     assert values[0] == pytest.approx(40, abs=1)
     assert values[0] > values[1] > values[2] > values[3] == 0
 
