Pause before each class that a rising threshold reaches

The pause was only made before the critical class: with calls of three classes the second was closed in the window after the first. The new test fails without it.

--- a/src/monsoonmill/decisions/admission/chain_admission.py
+++ b/src/monsoonmill/decisions/admission/chain_admission.py
@@ -150,8 +150,8 @@
         Whether no attempt waited at some time in the current window.
     band_used_at : list of float
         Time of the last arrival in each band.
-    band_closed_at : float
-        Time at which a whole band was last about to be closed.
+    in_band_at : float
+        Time at which the threshold was last raised within a band.
     """
 
     threshold: int = 0
@@ -164,7 +164,7 @@
     refused: int = 0
     was_queue_empty: bool = True
     band_used_at: list[float] = field(factory=lambda: [-inf] * len(Importance))
-    band_closed_at: float = -inf
+    in_band_at: float = -inf
     _window_ends_at: float = -inf
 
     def record_arrival(self, value: int, waiting: int, now: float) -> None:
@@ -236,17 +236,22 @@
         It stays within one band until the chains of that band which had started before
         it was closed have ended.
         """
+        is_lowest = True
         for importance in Importance:
-            end = importance * RANKS + FLOOR_RANK
-            if importance is Importance.CRITICAL or not self._is_in_use(
-                importance, now
-            ):
+            first = importance * RANKS
+            end = first + FLOOR_RANK
+            if importance is Importance.CRITICAL:
+                end = MAX_THRESHOLD
+            elif not self._is_in_use(importance, now):
                 continue
             if self.threshold < end:
-                self.band_closed_at = now
-                return end
-        is_closed = now - self.band_closed_at >= CHAIN_S
-        return MAX_THRESHOLD if is_closed else self.threshold
+                has_paused = now - self.in_band_at >= CHAIN_S
+                if is_lowest or self.threshold > first or has_paused:
+                    self.in_band_at = now
+                    return end
+                return self.threshold
+            is_lowest = False
+        return self.threshold
 
     def _is_in_use(self, importance, now):
         return now - self.band_used_at[importance] < BAND_MEMORY_S
--- a/tests/test_chain_admission.py
+++ b/tests/test_chain_admission.py
@@ -13,6 +13,7 @@
 from monsoonmill.decisions.admission.chain_admission import (
     FLOOR_RANK,
     MAX_RETURNING,
+    RANKS,
     TOP_RANK,
     ReturningCallers,
     RouteThresholds,
@@ -197,6 +198,19 @@
     assert 0 < controller.threshold <= FLOOR_RANK / 3
 
 
+def test_next_class_is_not_touched_at_once_when_a_class_is_closed():
+    controller = ThresholdController()
+    reached = {}
+    for number in range(2000):
+        now = 10.0 + number / 1000
+        controller.record_arrival(number % 2 * RANKS + number % FLOOR_RANK, 1, now)
+        controller.record_refusal(now)
+        reached.setdefault(controller.threshold, now)
+    closed_at = min(at for value, at in reached.items() if value >= FLOOR_RANK)
+    next_at = min(at for value, at in reached.items() if value > RANKS)
+    assert next_at - closed_at >= 0.4
+
+
 def test_threshold_of_a_route_decays_within_a_second_without_replies():
     thresholds = RouteThresholds()
     for number in range(50):
