--- a/tests/test_chain_admission.py
+++ b/tests/test_chain_admission.py
@@ -13,6 +13,7 @@
 from monsoonmill.decisions.admission.chain_admission import (
     FLOOR_RANK,
     MAX_RETURNING,
+    RANKS,
     TOP_RANK,
     ReturningCallers,
     RouteThresholds,
@@ -197,11 +198,27 @@
     assert 0 < controller.threshold <= FLOOR_RANK / 3
 
 
+def test_next_class_is_not_touched_at_once_when_a_class_is_closed():
+    controller = ThresholdController()
+    reached = {}
+    for number in range(2000):
+        now = 10.0 + number / 1000
+        controller.record_arrival(number % 2 * RANKS + number % FLOOR_RANK, 1, now)
+        controller.record_refusal(now)
+        reached.setdefault(controller.threshold, now)
+    closed_at = min(at for value, at in reached.items() if value >= FLOOR_RANK)
+    next_at = min(at for value, at in reached.items() if value > RANKS)
+    assert next_at - closed_at >= 0.4
+
+
 def test_threshold_of_a_route_decays_within_a_second_without_replies():
     thresholds = RouteThresholds()
     for number in range(50):
-        thresholds.record("view", 40, 10.0 + number / 100)
-    values = [thresholds.value("view", 10.5 + age) for age in (0.0, 0.4, 0.7, 1.0)]
+        # Replies of another service do not lower the threshold.
+        for service, threshold in (("stock", 40), ("ample", 0)):
+            thresholds.record("view", service, threshold, 10.0 + number / 100)
+    values = [thresholds.highest("view", 10.5 + age) for age in (0.0, 0.4, 0.7, 1.0)]
+    assert thresholds.value("view", "ample", 10.5) == 0
     assert values[0] == pytest.approx(40, abs=1)
     assert values[0] > values[1] > values[2] > values[3] == 0
 
