--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -571,7 +571,7 @@
         """Serve a connection again at the first tick after its ``resumes_at``."""
         if conn not in self._delayed:
             self._delayed.add(conn)
-            self._counters.add("pipelines-delayed")
+            self.report("pipelines-delayed", 0)
 
     def _resume_delayed(self, now):
         due = [conn for conn in self._delayed if now >= conn.resumes_at]
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -675,3 +675,34 @@
     assert b"Retry-After" in answer or is_complete
     loop.run_until(lambda: server.connection_count == 1)
     server.close()
+
+
+def test_slow_reader_that_gives_way_has_an_incomplete_response():
+    size = 16 << 20
+    limits = ConnectionLimits(65536, 1 << 20, 60.0, 10.0)
+    server = WebServer(
+        Address(HOST, free_port()), EchoApp(), limits, MemoryBudget(size)
+    )
+    loop = ComponentLoop(server)
+    socks = [connect(loop), connect(loop)]
+    for sock in socks:
+        sock.sendall(LATER)
+    loop.run_until(lambda: len(loop.signals) == 2)
+    for signal in list(loop.signals):
+        answer = Answer(signal.call, Outcome.DONE, HttpResponse(200, (), bytes(size)))
+        loop.dispatch(server.on_answer, answer)
+    assert server.connection_count == 1
+    received = [0, 0]
+
+    def is_read():
+        for number, sock in enumerate(socks):
+            sock.setblocking(False)
+            try:
+                received[number] += len(sock.recv(1 << 20))
+            except BlockingIOError:
+                pass
+        return max(received) > size and not server.in_progress
+
+    loop.run_until(is_read, limit_s=10.0)
+    assert 0 < min(received) < size
+    server.close()
