Bound the unsent messages of the peers' port, and give it more streams

Cause: a node that pings and never reads fills the queue of answers without limit; silence does not close its stream, since it sends.

Change: the budget of the streams, now peers.max_held_bytes, covers unsent messages with the objects that hold them; the stream that holds the most is closed unless it holds one long message and the others are calm.

Streams of other nodes get 0.3 of the descriptors for connections, 64 at least, and callers 0.5: with 400 descriptors, 40 streams would have been fewer than the hosts of a fleet.

--- a/src/monsoonmill/http1/memory_budget.py
+++ b/src/monsoonmill/http1/memory_budget.py
@@ -1,4 +1,4 @@
-"""Budget for the memory that a process holds for the clients of its HTTP ports."""
+"""Budgets for the memory that a process holds for its clients and for other nodes."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
@@ -21,8 +21,9 @@
 
 @define
 class MemoryBudget:
-    """Memory that the connections of all HTTP ports of a process hold, in bytes.
+    """Memory that connections hold, in bytes.
 
+    All HTTP ports of a process share one, and the streams to other nodes another one.
     It covers heads, bodies, queued requests and unsent responses, with the objects that
     hold them, from their arrival until they have left.
 
@@ -34,15 +35,15 @@
 
     max_bytes: int
     total_bytes: int = 0
-    _sizes: dict[MemoryHolder, int] = field(factory=dict)
+    _sizes: dict[object, int] = field(factory=dict)
 
-    def record(self, holder: MemoryHolder, size: int) -> None:
+    def record(self, holder: object, size: int) -> None:
         """Record what a connection holds."""
         self.total_bytes += size - self._sizes.pop(holder, 0)
         if size:
             self._sizes[holder] = size
 
-    def forget(self, holder: MemoryHolder) -> None:
+    def forget(self, holder: object) -> None:
         """Remove a connection that was closed."""
         self.total_bytes -= self._sizes.pop(holder, 0)
 
@@ -51,6 +52,11 @@
         """Whether the connections hold more than the budget."""
         return self.total_bytes > self.max_bytes
 
+    def find_largest(self) -> tuple[object, int]:
+        """Return the largest holder, and what the others hold together in bytes."""
+        largest = max(self._sizes, key=self._sizes.__getitem__)
+        return largest, self.total_bytes - self._sizes[largest]
+
     def relieve(self, now: float) -> Iterator[object]:
         """Make the largest holders give way while the budget is exceeded.
 
@@ -60,8 +66,7 @@
             Signals for the core.
         """
         while self.is_exceeded:
-            largest = max(self._sizes, key=self._sizes.__getitem__)
-            others = self.total_bytes - self._sizes[largest]
+            largest, others = self.find_largest()
             if others <= CALM_FRACTION * self.max_bytes:
                 return
             yield from largest.give_way(now)
--- a/src/monsoonmill/node/peer_stream.py
+++ b/src/monsoonmill/node/peer_stream.py
@@ -85,6 +85,8 @@
         Name of the peer; empty until it is known.
     mask : int
         Selector events that the owner has registered the socket for.
+    recorded_bytes : int
+        What the owner has recorded of ``held_bytes``.
     ledger : TrafficLedger or None
         Counts the messages that are sent; set by the owner.
     has_carried_messages : bool
@@ -113,6 +115,7 @@
         self.has_carried_messages = False
         self._is_leaving = False
         self.mask = 0
+        self.recorded_bytes = 0
         self.ledger: TrafficLedger | None = None
         self._hello = hello
         self._cfg = cfg
@@ -247,14 +250,15 @@
             del self._open_attempts[name]
 
     @property
-    def received_bytes(self) -> int:
-        """Size of the messages that are incomplete."""
-        return self._reassembler.held_bytes + self._reader.unread_bytes
+    def held_bytes(self) -> int:
+        """Memory of incomplete and unsent messages."""
+        received = self._reassembler.held_bytes + self._reader.unread_bytes
+        return received + self._send_queue.held_bytes
 
     @property
     def transfer_count(self) -> int:
-        """Number of long messages that are incomplete."""
-        return self._reassembler.transfer_count
+        """Number of long messages that are not received or sent completely."""
+        return self._reassembler.transfer_count + self._send_queue.transfer_count
 
     def close_over_limit(self, cause: str) -> None:
         """Close the stream, since the process would exceed a limit."""
--- a/src/monsoonmill/node/peer_transport.py
+++ b/src/monsoonmill/node/peer_transport.py
@@ -12,7 +12,7 @@
 from monsoonmill.decisions.signals import PeerDown, PeerUnreachable, PeerUp, Received
 from monsoonmill.errors import ProtocolError, TruncatedFrameError
 from monsoonmill.eventlog import get_logger, request_log
-from monsoonmill.http1.buffer_budget import BufferBudget
+from monsoonmill.http1.memory_budget import CALM_FRACTION, MemoryBudget
 from monsoonmill.messages import Hello, Reply
 from monsoonmill.model import Address
 from monsoonmill.node.listening_port import ListeningPort
@@ -24,6 +24,8 @@
 
 TICK_INTERVAL_S = 0.25
 LISTEN_BACKLOG = 512
+MIN_RECORDED_BYTES = 1 << 16
+"""Streams that hold less are not recorded, which saves time for each message."""
 MESSAGE_OVERHEAD_BYTES = 1 << 20
 """Maximum size of a message in excess of its body."""
 
@@ -83,7 +85,7 @@
         rate = float(cfg.peers.region_bytes_per_s)
         self._budget = ByteBudget(rate, rate, now)
         self._next_tick = now + TICK_INTERVAL_S
-        self._received = BufferBudget(cfg.peers.max_received_bytes)
+        self._held = MemoryBudget(cfg.peers.max_held_bytes)
         self._flush_pending: set[PeerStream] = set()
         self.bytes_by_region: dict[str, int] = defaultdict(int)
         self._is_closing = False
@@ -203,27 +205,30 @@
 
     def _report_limit(self, reason, peer):
         self._counters.add(reason)
-        request_log.write(
-            reason, peer=peer, streams=len(self._streams), held=self.received_bytes
-        )
-
-    @property
-    def received_bytes(self) -> int:
-        """Size of the incomplete messages of all streams."""
-        return self._received.total_bytes
+        held = self._held.total_bytes
+        request_log.write(reason, peer=peer, streams=len(self._streams), held=held)
 
-    def _limit_received(self, stream):
-        """Close the stream that holds the most if all exceed their budget.
+    def _limit_held(self, stream):
+        """Record what a stream holds; close the one that holds the most if needed.
 
-        A single message may exceed it.
+        It is left alone if it holds one long message and the others are calm, since a
+        single message may exceed the limit.
         """
-        largest = self._received.record(stream, stream.received_bytes)
-        if largest is None and stream.transfer_count > 1:
-            is_exceeded = self.received_bytes > self._received.max_bytes
-            largest = stream if is_exceeded else None
-        if largest is not None:
+        size = stream.held_bytes
+        if size < MIN_RECORDED_BYTES:
+            size = 0
+        if size == stream.recorded_bytes:
+            return
+        stream.recorded_bytes = size
+        self._held.record(stream, size)
+        while self._held.is_exceeded:
+            largest, others = self._held.find_largest()
+            is_calm = others <= CALM_FRACTION * self._held.max_bytes
+            if is_calm and largest.transfer_count == 1:
+                return
             self._report_limit("peer-memory-closed", largest.address)
-            largest.close_over_limit("too much memory for incomplete messages")
+            self._held.forget(largest)
+            largest.close_over_limit("holds too much memory")
             yield from self._process_events(largest)
 
     def on_ready(self, stream: PeerStream, mask: int, now: float) -> Iterator[object]:
@@ -233,7 +238,7 @@
         elif mask & EVENT_READ:
             stream.read(now)
             if not stream.is_closed:
-                yield from self._limit_received(stream)
+                yield from self._limit_held(stream)
         self._flush_pending.add(stream)
         yield from self._process_events(stream)
 
@@ -251,6 +256,8 @@
                     stream, stream.write(may_send_part), is_in_other_region
                 )
             yield from self._process_events(stream)
+            if not stream.is_closed:
+                yield from self._limit_held(stream)
             if not stream.is_closed:
                 self._update_interest(stream, may_send_part)
 
@@ -282,7 +289,7 @@
 
     def _remove(self, stream):
         self._streams.discard(stream)
-        self._received.forget(stream)
+        self._held.forget(stream)
         self._selector.unregister(stream.sock)
         if self._stream_by_node.get(stream.node) is stream:
             del self._stream_by_node[stream.node]
--- a/src/monsoonmill/node/send_queue.py
+++ b/src/monsoonmill/node/send_queue.py
@@ -8,6 +8,8 @@
 from monsoonmill.codec import Codec
 from monsoonmill.messages import Part
 
+FRAME_BYTES = 200
+"""Memory of a waiting frame besides its encoding: its message and two objects."""
 SHORT_FRAMES_PER_PART = 16
 """Maximum number of short frames sent between two parts of long messages."""
 
@@ -41,11 +43,17 @@
     ----------
     chunk_bytes : int
         Messages whose encoding is longer are sent in parts of this size.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Memory of the waiting messages.
     """
 
     def __init__(self, codec: Codec, chunk_bytes: int):
         self._codec = codec
         self._chunk_bytes = chunk_bytes
+        self.held_bytes = 0
         self._short_frames: deque[ShortFrame] = deque()
         self._transfers: deque[Transfer] = deque()
         self._transfer_numbers = count(1)
@@ -66,6 +74,7 @@
     def put(self, message: object) -> int:
         """Encode and append a message; return the size of its encoding in bytes."""
         data = self._codec.encode(message)
+        self.held_bytes += len(data) + FRAME_BYTES
         if len(data) <= self._chunk_bytes:
             self._short_frames.append(ShortFrame(message, data))
         else:
@@ -93,7 +102,9 @@
             can_send_part and self._short_frames_since_part >= SHORT_FRAMES_PER_PART
         ):
             self._short_frames_since_part += 1
-            return self._short_frames.popleft().data
+            data = self._short_frames.popleft().data
+            self.held_bytes -= len(data) + FRAME_BYTES
+            return data
         if can_send_part:
             self._short_frames_since_part = 0
             return self._next_part()
@@ -108,10 +119,17 @@
         chunk = transfer.data[transfer.position : end]
         transfer.position = end
         is_last = end >= len(transfer.data)
-        if not is_last:
+        if is_last:
+            self.held_bytes -= len(transfer.data) + FRAME_BYTES
+        else:
             self._transfers.append(transfer)
         return self._codec.encode(Part(transfer.number, is_last, chunk))
 
+    @property
+    def transfer_count(self) -> int:
+        """Number of long messages that are not sent completely."""
+        return len(self._transfers)
+
     def unsent_messages(self):
         """Yield the messages of which no byte has been sent."""
         for frame in self._short_frames:
--- a/src/monsoonmill/platform/settings.py
+++ b/src/monsoonmill/platform/settings.py
@@ -20,14 +20,17 @@
 """Fraction of a process's memory for all that the connections of its HTTP ports hold:
 the bodies of requests, and as much for heads and unsent responses."""
 PEER_MEMORY_FRACTION = 0.25
-"""Fraction of a process's memory for incomplete messages of other nodes."""
+"""Fraction of a process's memory for messages of other nodes that are incomplete,
+and for messages to them that are unsent."""
 FILE_DESCRIPTORS = 200
 """Descriptors that the platform reserves for a process's files; the others are for its
 connections."""
-CALLER_CONNECTIONS_FRACTION = 0.6
+CALLER_CONNECTIONS_FRACTION = 0.5
 """Fraction of the descriptors for connections that callers may use."""
-PEER_STREAMS_FRACTION = 0.2
+PEER_STREAMS_FRACTION = 0.3
 """Fraction that streams of other nodes may use; these connect once or twice each."""
+MIN_STREAMS = 64
+"""Streams of other nodes with however few descriptors; fleets have tens of hosts."""
 SERVICE_CONNECTIONS_FRACTION = 0.04
 """Fraction that each of the ports for readiness, heartbeats and metrics may use, which
 have few clients. The rest is for connections to the backend server and the store."""
@@ -151,16 +154,16 @@
         memory_bytes = int(limits["memory_mb"]) << 20
         http["max_buffered_bytes"] = int(memory_bytes * BODY_MEMORY_FRACTION)
         http["max_held_bytes"] = int(memory_bytes * HELD_MEMORY_FRACTION)
-        peers["max_received_bytes"] = int(memory_bytes * PEER_MEMORY_FRACTION)
+        peers["max_held_bytes"] = int(memory_bytes * PEER_MEMORY_FRACTION)
     if "max_fds" in limits:
         count = int(limits["max_fds"]) - FILE_DESCRIPTORS
 
-        def share(fraction):
-            return max(int(count * fraction), MIN_CONNECTIONS)
+        def share(fraction, minimum=MIN_CONNECTIONS):
+            return max(int(count * fraction), minimum)
 
         http["max_connections"] = share(CALLER_CONNECTIONS_FRACTION)
         http["max_service_connections"] = share(SERVICE_CONNECTIONS_FRACTION)
-        peers["max_streams"] = share(PEER_STREAMS_FRACTION)
+        peers["max_streams"] = share(PEER_STREAMS_FRACTION, MIN_STREAMS)
     overlay["http"] = {**overlay["http"], **http}
     overlay["peers"] = {**overlay["peers"], **peers}
 
--- a/src/monsoonmill/settings.py
+++ b/src/monsoonmill/settings.py
@@ -193,8 +193,8 @@
 
     Attributes
     ----------
-    max_received_bytes : int
-        Memory for messages that are incomplete, on all streams together.
+    max_held_bytes : int
+        Memory for messages that are incomplete or unsent, on all streams together.
     max_streams : int
         Streams that other nodes have opened.
     """
@@ -206,7 +206,7 @@
     chunk_bytes: int = int_field(1024)
     max_frame_bytes: int = int_field(4096)
     region_bytes_per_s: int = int_field()
-    max_received_bytes: int = int_field(1024)
+    max_held_bytes: int = int_field(1024)
     max_streams: int = int_field()
 
 
--- a/tests/integration/test_untrusted_clients.py
+++ b/tests/integration/test_untrusted_clients.py
@@ -16,7 +16,7 @@
 from urllib3.exceptions import HTTPError
 
 from monsoonmill.codec_msgpack import MsgpackCodec
-from monsoonmill.messages import PEER_MESSAGES, Hello, Part
+from monsoonmill.messages import PEER_MESSAGES, Hello, Part, Ping
 from monsoonmill.model import Address
 from tests.integration.release_notes import SECRETS, initial_note
 from tests.platform_fleet import (
@@ -107,6 +107,14 @@
     return codec.encode(hello) + b"".join(parts)
 
 
+def peer_pings(number):
+    """Return the bytes of a peer that sends pings and never reads the answers."""
+    codec = MsgpackCodec(PEER_MESSAGES)
+    hello = Hello(f"10.9.9.{number}:7000", 1, Address("10.9.9.9", 7000))
+    ping = codec.encode(Ping(1))
+    return codec.encode(hello) + ping * (2 * MB // len(ping))
+
+
 def body_of(size, head=UPLOAD):
     return head + b"Content-Length: %d\r\n\r\n" % size + bytes(size)
 
@@ -147,6 +155,7 @@
         lambda: [b"GET /metrics HTTP/1.1\r\n\r\n" * 4000] * 30,
     ),
     "peer_parts": ("peer", lambda: [peer_parts(number) for number in range(16)]),
+    "peer_pings": ("peer", lambda: [peer_pings(number) for number in range(12)]),
     "peer_silent": ("peer", lambda: [b""] * 500),
 }
 
