Mend what a review of the merged parts found

A reviewer who wrote none of the parts found these, each confirmed by a script of the reviewer's unless it says otherwise:

- A rule with unreadable allowed_regions was left out, so that its calls matched a shorter prefix without a limit.
Such a list now allows no region.
- A server that answered over 5 in 100 runs with 503 stayed at 2 concurrent calls for good.
Refusals that fewer calls do not lower have another cause and are tolerated.
- A data centre whose evacuation was withdrawn got all calls at once (by reading).
Its servers are ramped up.
- A cold start whose first heartbeat came before the configuration was not seen.
- The end of an aborted run removed what nested calls of a later run with its id inherit.
- A partial head behind a taken request had no time-out (by reading).

--- a/src/monsoonmill/decisions/admission/admission.py
+++ b/src/monsoonmill/decisions/admission/admission.py
@@ -31,6 +31,10 @@
     def load(self) -> Load:
         """Return the load to report to other nodes."""
 
+    def record_return(self, now: float) -> None:
+        """Record that the backend server gets calls again after an evacuation."""
+        return
+
     def threshold(self, now: float) -> int:
         """Return the lowest standing for which there is capacity; 0 for all."""
         return 0
--- a/src/monsoonmill/decisions/admission/cold_limit.py
+++ b/src/monsoonmill/decisions/admission/cold_limit.py
@@ -123,6 +123,7 @@
         self._cold_start_s = 0.0
         self._cold_until = float("-inf")
         self._process: tuple[str, int] | None = None
+        self._process_started_at = float("-inf")
         self._node_started_at = float("-inf")
         self._spread_from = float("-inf")
         self._window = RequestWindow()
@@ -151,12 +152,13 @@
     def _allowance(self):
         """Maximum number of requests in a window."""
         bound = self._per_s * self._excess + self._slack
-        return int(min(BOUND_SHARE * bound, MAX_SENT - 1))
+        return max(int(min(BOUND_SHARE * bound, MAX_SENT - 1)), 1)
 
     @property
     def _rate(self):
         """Requests per second, spread so that the window is never full."""
-        return max(min(self._per_s, (self._allowance - 1) / (WINDOW_S + BURST_S)), 0.1)
+        spread = max(self._allowance - 1, 1) / (WINDOW_S + BURST_S)
+        return max(min(self._per_s, spread), 0.1)
 
     def start(self, now: float) -> None:
         """Record the start of the node."""
@@ -174,6 +176,9 @@
         was_cold = self.is_cold(now)
         self._per_s = service.cold_per_s if service else 0.0
         self._cold_start_s = service.cold_start_ms / 1000 if service else 0.0
+        # The first heartbeat may come before the configuration.
+        start_ends_at = self._process_started_at + self._cold_start_s
+        self._cold_until = max(self._cold_until, start_ends_at)
         return self._begins(was_cold, now)
 
     def record_announcement(self, signal: BackendAnnounced, now: float) -> bool:
@@ -186,24 +191,25 @@
         process = (signal.instance, signal.started_ms)
         believed_until = min(self._cold_until, now + self._cold_start_s)
         if process != self._process:
-            start_s = self._remaining_start_s(signal, now)
-            believed_until = max(believed_until, now + start_s)
+            self._process_started_at = self._find_start(signal, now)
+            start_ends_at = self._process_started_at + self._cold_start_s
+            believed_until = max(believed_until, start_ends_at)
         self._process = process
         self._cold_until = max(now + signal.cold_left_ms / 1000, believed_until)
         return self._begins(was_cold, now)
 
-    def _remaining_start_s(self, signal, now):
-        """Return for how long a process that was not known is cold after its start.
+    def _find_start(self, signal, now):
+        """Return from when on a process that was not known is cold after its start.
 
         The first process that a node hears of may have run for long. Its age is known
         only as exactly as the clocks agree.
         """
         has_listened = now - self._node_started_at > LISTENED_S
         if self._process is not None or has_listened:
-            return self._cold_start_s
+            return now
         if signal.age_ms is None:
-            return 0.0
-        return max(self._cold_start_s - signal.age_ms / 1000, 0.0)
+            return float("-inf")
+        return now - signal.age_ms / 1000
 
     def _begins(self, was_cold, now):
         begins = self.is_cold(now) and not was_cold
--- a/src/monsoonmill/decisions/admission/server_pace.py
+++ b/src/monsoonmill/decisions/admission/server_pace.py
@@ -39,15 +39,16 @@
 reaches all slots from a tenth after 17 windows."""
 SHRINK = 0.7
 SHED_SHARE = 0.05
-"""Share of refusals in a window that counts as crowded."""
+"""Share of refusals in a window that counts as crowded, unless fewer calls did not
+lower it."""
 CROWDED_RATIO = 1.5
 """Ratio of the latency to that with fewer calls from which a server is crowded."""
 USUAL_RATIO = 1.5
 """Ratio of the latency to the usual one up to which a server is as fast as usual. It
 lies below 2, the slowness of a cold server."""
 LOWERED_RATIO = 0.85
-"""A latency above this share of the one before the limit shrank was not caused by
-concurrency."""
+"""A latency, or a share of refusals, above this part of the one before the limit shrank
+was not caused by concurrency."""
 FALL_WEIGHT = 0.5
 RISE_WEIGHT = 0.1
 """Weights of a window in the ratio with fewer calls. It hardly rises within the 6 to 17
@@ -56,7 +57,7 @@
 """Share of the limit that has to be in use for fast growth."""
 MAX_RATIO = 16.0
 """Upper bound on the ratio of a single run."""
-LOST_RUNS = 5
+MIN_LOST_RUNS = 5
 """Runs lost in a row after which responses count as resumed; senders eject a server
 after about as many."""
 MIN_FULL_S = 5.0
@@ -96,6 +97,7 @@
     count: int = 0
     ratio_sum: float = 0.0
     sheds: int = 0
+    failed: int = 0
     max_running: int = 0
 
     @property
@@ -104,13 +106,14 @@
         return self.ratio_sum / self.count if self.count else 1.0
 
     @property
-    def is_shedding(self) -> bool:
-        """Whether the server refused too many runs."""
-        return self.sheds > SHED_SHARE * (self.count + self.sheds)
+    def shed_share(self) -> float:
+        """Share of the runs that the server refused."""
+        total = self.count + self.sheds + self.failed
+        return self.sheds / total if total else 0.0
 
     def is_due(self, limit: float, now: float) -> bool:
         """Return whether the window can be evaluated."""
-        total = self.count + self.sheds
+        total = self.count + self.sheds + self.failed
         min_runs = max(limit, MIN_WINDOW_RUNS)
         min_s = WINDOW_S if total >= min_runs else SPARSE_WINDOW_S
         return total > 0 and now - self.started_at >= min_s
@@ -139,6 +142,8 @@
         self._growth = GROWTH
         self._reference_ratio = 0.0
         self._shrunk_ratio = 0.0
+        self._tolerated_sheds = SHED_SHARE
+        self._shrunk_sheds = 0.0
         self._lost_runs = 0
         self._full_since = float("-inf")
         self._window = RampWindow(float("-inf"))
@@ -191,11 +196,13 @@
             return
         if sample.result is RunResult.SHED:
             window.sheds += 1
+        elif sample.result is not RunResult.ANSWERED:
+            window.failed += 1
         if window.is_due(self._limit, now):
             self._chart.send("window_ended", EndedRampWindow(window, now))
 
     def _record_answer(self, sample, now):
-        if self._lost_runs >= LOST_RUNS:
+        if self._lost_runs >= MIN_LOST_RUNS:
             self._chart.send("resumed", now)
         self._lost_runs = 0
         usual = self._usual_latency(sample.route)
@@ -227,11 +234,14 @@
     def is_crowded(self, ended: EndedRampWindow):
         """Return whether the server sheds, or is slower than with fewer calls.
 
-        A latency that a smaller limit did not reduce has another cause.
+        Refusals or a latency that a smaller limit did not reduce have another cause.
         """
         window = ended.window
-        if window.is_shedding:
-            return True
+        if window.shed_share > self._tolerated_sheds:
+            return (
+                not self._shrunk_sheds
+                or window.shed_share <= LOWERED_RATIO * self._shrunk_sheds
+            )
         if not self._reference_ratio:
             return False
         if window.ratio <= CROWDED_RATIO * self._reference_ratio:
@@ -261,6 +271,8 @@
         self._growth = GROWTH
         self._reference_ratio = 0.0
         self._shrunk_ratio = 0.0
+        self._tolerated_sheds = SHED_SHARE
+        self._shrunk_sheds = 0.0
         self._lost_runs = 0
         self._window = RampWindow(now)
 
@@ -274,6 +286,9 @@
         self._limit *= self._factor(window)
         self._update_reference(window.ratio)
         self._shrunk_ratio = 0.0
+        if window.shed_share > self._tolerated_sheds:
+            self._tolerated_sheds = CROWDED_RATIO * window.shed_share
+        self._shrunk_sheds = 0.0
         self._window = RampWindow(ended.now)
 
     def _update_reference(self, ratio):
@@ -292,6 +307,8 @@
         self._limit = max(self._limit * SHRINK, MIN_RAMP_LIMIT)
         self._growth = CAREFUL_GROWTH
         self._shrunk_ratio = ended.window.ratio
+        is_shedding = ended.window.shed_share > self._tolerated_sheds
+        self._shrunk_sheds = ended.window.shed_share if is_shedding else 0.0
         self._window = RampWindow(ended.now)
 
     def end_ramp(self, ended: EndedRampWindow):
--- a/src/monsoonmill/decisions/calls/execution.py
+++ b/src/monsoonmill/decisions/calls/execution.py
@@ -39,7 +39,7 @@
 ABORT_GRACE_S = 5.0
 """The slot of an aborted run is released if the run does not end within this time."""
 
-LOST_RUNS = frozenset(
+LOST_RUN_FAILURES = frozenset(
     (RunFailure.TIMED_OUT, RunFailure.CONNECTION_LOST, RunFailure.BROKEN_ANSWER)
 )
 """Runs that may have failed because the backend server had stopped."""
@@ -84,6 +84,7 @@
     controller: ExecutionController
     chart: ChartInstance | None = None
     token: str = ""
+    running_request: RunningRequest | None = None
     arrived_at: float = 0.0
     started_at: float = 0.0
     retries_left: int = 0
@@ -143,16 +144,14 @@
         self.controller.amplification.record_run()
         self.controller.nested_overload.record_run(self.now)
         forward = self.forward
-        self.controller.running_requests.add(
-            forward.request_id,
-            RunningRequest(
-                forward.importance,
-                forward.rank,
-                forward.route,
-                forward.root_organisation or forward.organisation,
-                forward.has_crossed,
-            ),
+        self.running_request = RunningRequest(
+            forward.importance,
+            forward.rank,
+            forward.route,
+            forward.root_organisation or forward.organisation,
+            forward.has_crossed,
         )
+        self.controller.running_requests.add(forward.request_id, self.running_request)
         context = CallContext(
             forward.organisation,
             forward.importance,
@@ -237,7 +236,7 @@
                 misdirected=response is not None
                 and response.status == MISDIRECTED_STATUS,
                 not_sent=failure is RunFailure.NOT_SENT,
-                lost=failure in LOST_RUNS,
+                lost=failure in LOST_RUN_FAILURES,
             )
         )
 
@@ -252,7 +251,9 @@
             self._reply(Outcome.DONE, None, finished.response)
 
     def _close_context(self):
-        self.controller.running_requests.remove(self.forward.request_id)
+        self.controller.running_requests.remove(
+            self.forward.request_id, self.running_request
+        )
         if self.token:
             self.retries_left = self.controller.contexts.close(self.token)
             self.token = ""
--- a/src/monsoonmill/decisions/calls/executions.py
+++ b/src/monsoonmill/decisions/calls/executions.py
@@ -239,7 +239,9 @@
         return self._dispatch(signal.attempt, "not_admitted", now, signal)
 
     def on_evacuations_changed(self, signal, now):
-        """Refuse all waiting attempts if the own data centre is evacuated now."""
+        """Refuse all waiting attempts, or ramp up after a withdrawn order."""
+        if self._location.returns(signal):
+            self.admission.record_return(now)
         if not self._location.is_evacuated:
             return
         waiting = [
--- a/src/monsoonmill/decisions/calls/location_rules.py
+++ b/src/monsoonmill/decisions/calls/location_rules.py
@@ -2,6 +2,7 @@
 
 from monsoonmill.decisions.calls.authorization import Authorization
 from monsoonmill.decisions.configuration.configuration import ConfigView
+from monsoonmill.decisions.configuration.signals import EvacuationsChanged
 from monsoonmill.messages import Forward
 from monsoonmill.reasons import Reason
 from monsoonmill.settings import Settings
@@ -24,6 +25,11 @@
         self._authorization = authorization
         self._view = view
 
+    def returns(self, signal: EvacuationsChanged) -> bool:
+        """Return whether the evacuation of the own data centre was withdrawn."""
+        name = self._data_centre
+        return name in signal.old.data_centres and name not in signal.new.data_centres
+
     @property
     def is_evacuated(self) -> bool:
         """Whether the own data centre is evacuated."""
--- a/src/monsoonmill/decisions/calls/running_requests.py
+++ b/src/monsoonmill/decisions/calls/running_requests.py
@@ -44,9 +44,10 @@
         if request_id:
             self._requests[request_id] = request
 
-    def remove(self, request_id: str) -> None:
-        """Record that a request has ended."""
-        self._requests.pop(request_id, None)
+    def remove(self, request_id: str, request: RunningRequest | None) -> None:
+        """Record that a request has ended; a later one with its id may still run."""
+        if request is not None and self._requests.get(request_id) is request:
+            del self._requests[request_id]
 
     def find(self, parent_id: str) -> RunningRequest | None:
         """Return the request that may have made a nested call; None if unknown."""
--- a/src/monsoonmill/decisions/configuration/evacuations.py
+++ b/src/monsoonmill/decisions/configuration/evacuations.py
@@ -49,22 +49,10 @@
         """Whether the orders are known at all."""
         return self.version > 0
 
-    def with_listing(self, listing: StoredListing) -> "Evacuations":
-        """Return the newer one of this state and that of a listing.
-
-        A store that has returned from an older copy may have lost orders that were
-        acknowledged. They hold on, since the operators write them again.
-        """
-        listed = Evacuations.from_listing(listing)
-        if listed.version <= self.version:
-            return self
-        listed_era, _ = split_version(listed.version)
-        own_era, _ = split_version(self.version)
-        if listed_era == own_era:
-            return listed
-        return evolve(
-            listed, data_centres=_bounded(listed.data_centres | self.data_centres)
-        )
+    @property
+    def era(self) -> int:
+        """Number of times that the store had returned from an older copy."""
+        return split_version(self.version)[0]
 
     def reply(self) -> EvacuationsReply:
         """Return the message that tells another node this state."""
--- a/src/monsoonmill/decisions/routing/router.py
+++ b/src/monsoonmill/decisions/routing/router.py
@@ -1,8 +1,8 @@
 """Choice of the node, and so of the backend server, that runs a call.
 
-The less loaded of two candidates drawn at random is chosen, by the attempts that
-this node has outstanding there and the load reported with the last reply. Other
-regions are used only when the own region can't take the call.
+Candidates are the nodes of a service that the call's regions and the evacuation orders
+allow. A placement policy chooses among them, by the attempts that this node has
+outstanding there and the load reported with the last reply.
 """
 
 from abc import ABC, abstractmethod
@@ -220,8 +220,15 @@
         return ()
 
     def on_evacuations_changed(self, signal, now):
-        """Discard the candidates that were indexed under other orders."""
+        """Discard the candidates under other orders, and what is known of servers.
+
+        Those that return get calls slowly, as servers without a report do.
+        """
         self._by_service.clear()
+        returning = signal.old.data_centres - signal.new.data_centres
+        for member in self._members.members():
+            if member.data_centre in returning:
+                self._targets.pop(member.node, None)
         return ()
 
     def on_members_changed(self, signal, now):
--- a/src/monsoonmill/http1/server.py
+++ b/src/monsoonmill/http1/server.py
@@ -409,6 +409,9 @@
                 yield from self._server.serve(self, self.call, self._req, now)
                 if self._unparsed:
                     self._parse()
+                if not self.reader.is_idle and self.request_started_at is None:
+                    # The next head has begun and must be complete in time, too.
+                    self.request_started_at = now
         finally:
             self._is_serving = False
 
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -252,7 +252,7 @@
     is_list : bool
         Whether this is the response to a ``MemberListRequest``, whose entries
         may be old.
-    evacuations : tuple of int
+    evacuations : int
         Version of the sender's evacuation orders; 0 if it knows none.
     """
 
@@ -356,8 +356,8 @@
 
     Attributes
     ----------
-    version : tuple of int
-        Era and revision of the store up to which all orders are included.
+    version : int
+        Version of the store up to which all orders are included.
     data_centres : tuple of str
         Names of the evacuated data centres.
     """
--- a/src/monsoonmill/platform/config_codec.py
+++ b/src/monsoonmill/platform/config_codec.py
@@ -30,6 +30,8 @@
 IDEMPOTENT_ROUTE_TYPES = ("idempotent", "download")
 NON_IDEMPOTENT_ROUTE_TYPES = ("non_idempotent", "upload")
 KEY_NAME_CHARS = 16
+NO_REGIONS = ("(none)",)
+"""Allowed regions that no host is in."""
 LOWEST_PRIORITY = int(Importance.CRITICAL)
 MAX_ATTEMPTS = 1000
 MAX_RATE = 1e9
@@ -187,11 +189,11 @@
 def _parse_regions(doc: RawObject) -> tuple[str, ...]:
     """Return the regions to which an entry is limited; empty for no limit.
 
-    An entry whose list cannot be read is not usable, since it would have no limit.
+    A list that cannot be read allows no region. Without the entry its calls would match
+    a shorter prefix, which may have no limit.
     """
-    if not doc.has("allowed_regions"):
-        return ()
-    return tuple(doc.require("allowed_regions", list[Name] | None) or ())
+    regions = doc.get("allowed_regions", list[Name] | None, None, list(NO_REGIONS))
+    return tuple(regions or ())
 
 
 def _parse_duration_ms(doc: RawObject, name: str) -> int:
--- a/src/monsoonmill/platform/store_client.py
+++ b/src/monsoonmill/platform/store_client.py
@@ -118,7 +118,7 @@
 
     items: list[Raw] = field(factory=list)
     has_more: bool = False
-    at_rev: NonNegativeInt = 0
+    at_rev: Revision = 0
 
 
 @frozen
--- a/tests/test_server_pace.py
+++ b/tests/test_server_pace.py
@@ -2,6 +2,13 @@
 
 import pytest
 
+from monsoonmill.decisions.admission.concurrency_limit import (
+    RunResult,
+    RunSample,
+    ServerEvent,
+)
+from monsoonmill.decisions.admission.server_pace import PacedLimit
+from monsoonmill.decisions.admission.slots_limit import SlotsLimit
 from tests.admission_driver import SLOTS, USABLE_SLOTS, AdmissionDriver, make_config
 
 LATENCY_S = 0.057
@@ -117,3 +124,20 @@
 def test_other_configurations_use_all_slots_at_once():
     driver = run(steady, 2.0, config=make_config(aims=(300, 600)))
     assert {limit for at, limit in driver.limits if at > 0} == {SLOTS}
+
+
+def test_refusals_that_fewer_calls_do_not_lower_do_not_hold_a_server_back():
+    # A server that answered 1 of 10 runs with 503 stayed at 2 calls for good.
+    limit = PacedLimit(SlotsLimit(SLOTS))
+    limit.set_announced_slots(SLOTS)
+    limit.paces_starts = True
+    limit.record_event(ServerEvent.STARTED, 0.0)
+    now = 0.0
+    while limit.is_reduced and now < 60.0:
+        for number in range(20):
+            result = RunResult.ANSWERED if number % 10 else RunResult.SHED
+            sample = RunSample("r", now, LATENCY_S, limit.limit, result)
+            limit.record_run(sample, now + LATENCY_S)
+        now += 0.2
+    assert limit.limit == SLOTS
+    assert now < 20.0
