Answer questions about placement without changing the router

Router.target creates an entry for each node that is only compared, and the group that a placement policy draws from was part of its pick. An explanation of a choice needs both without a change of state. Queries now use find_target, which creates no entry, and PlacementPolicy.preferred returns the group; pick draws from it as before. Router's status lists only nodes to which attempts were sent. A second router as a copy for explanations was ruled out, since it could differ from the one in use.

--- a/src/monsoonmill/decisions/routing/pace_placement.py
+++ b/src/monsoonmill/decisions/routing/pace_placement.py
@@ -83,7 +83,7 @@
         usual_s : float
             Latency to assume while the node's own is not known.
         """
-        target = router.target(member.node)
+        target = router.find_target(member.node)
         return cls(
             member,
             target.work_ahead(now),
@@ -126,6 +126,14 @@
     def __init__(self):
         self._medians: dict[str, MedianLatency] = {}
 
+    def preferred(self, members, router, now):
+        """Return the nearest group with capacity.
+
+        A policy of its own computes the medians, so that those in use stay unchanged.
+        They are newer by up to ``MEDIAN_TTL_S``.
+        """
+        return PacePlacement()._nearest_group(members, router, now) if members else []
+
     def pick(self, members, router, now):
         """Return the name of a node, or None if there is none."""
         if not members:
@@ -176,7 +184,7 @@
         known = self._medians.get(service)
         if known is None or now - known.measured_at >= MEDIAN_TTL_S:
             latencies = (
-                router.target(member.node).latency_s(now) for member in members
+                router.find_target(member.node).latency_s(now) for member in members
             )
             known = MedianLatency(median([s for s in latencies if s] or [0.0]), now)
             if len(self._medians) >= MAX_SERVICES:
@@ -192,6 +200,10 @@
         self._nearest = NearestPlacement()
         self._by_pace = PacePlacement()
 
+    def preferred(self, members, router, now):
+        """Return the nearest nodes with free slots, as ``pick`` does."""
+        return self._nearest.preferred(members, router, now)
+
     def pick(self, members, router, now):
         """Return the nearest node with free slots, until a configuration is known."""
         return self._nearest.pick(members, router, now)
@@ -212,7 +224,7 @@
     """Return whether a group can take one more call, by all its slots."""
     work, capacity = 1, 0
     for member in group:
-        target = router.target(member.node)
+        target = router.find_target(member.node)
         work += target.work_ahead(now)
         capacity += target.capacity
     return work <= MAX_PREFERRED_LOAD * capacity
--- a/src/monsoonmill/decisions/routing/router.py
+++ b/src/monsoonmill/decisions/routing/router.py
@@ -108,6 +108,10 @@
         )
 
 
+UNUSED_TARGET = Target()
+"""Load of the nodes to which no attempt has been sent."""
+
+
 class PlacementPolicy(ABC):
     """Chooses among the nodes that would admit a call.
 
@@ -123,6 +127,12 @@
         """Return the policy to use with a configuration."""
         return self
 
+    @abstractmethod
+    def preferred(
+        self, members: list[Member], router: "Router", now: float
+    ) -> list[Member]:
+        """Return the nodes that ``pick`` draws from, without changing any state."""
+
     @abstractmethod
     def pick(self, members: list[Member], router: "Router", now: float) -> str | None:
         """Return the name of a node, or None if there is none."""
@@ -131,10 +141,14 @@
 class RegionPlacement(PlacementPolicy):
     """Chooses between two random nodes of the own region, or else of any region."""
 
+    def preferred(self, members, router, now):
+        """Return the nodes of the own region, or else all."""
+        local = [member for member in members if member.region == router.own.region]
+        return local or members
+
     def pick(self, members, router, now):
         """Return the name of a node, or None if there is none."""
-        local = [member for member in members if member.region == router.own.region]
-        group = local or members
+        group = self.preferred(members, router, now)
         return less_loaded_of_two(group, router, now) if group else None
 
 
@@ -145,8 +159,8 @@
     used only when the near ones are full.
     """
 
-    def pick(self, members, router, now):
-        """Return the name of a node, or None if there is none."""
+    def preferred(self, members, router, now):
+        """Return the nearest nodes with free slots, or the least loaded node."""
         own = router.own
         loads = [(router.calls_per_slot(member, now), member) for member in members]
         free = [member for load, member in loads if load <= MAX_PREFERRED_LOAD]
@@ -155,14 +169,19 @@
         near = [member for member in free if member.data_centre == own.data_centre]
         if not near:
             near = [member for member in free if member.region == own.region]
-        return less_loaded_of_two(near or free, router, now)
+        return near or free
+
+    def pick(self, members, router, now):
+        """Return the name of a node, or None if there is none."""
+        group = self.preferred(members, router, now)
+        return less_loaded_of_two(group, router, now) if group else None
 
     def _least_loaded(self, loads, own):
         def cost(pair):
             load, member = pair
             return load + (0.0 if member.region == own.region else CROSS_REGION_PENALTY)
 
-        return min(loads, key=cost)[1].node if loads else None
+        return [min(loads, key=cost)[1]] if loads else []
 
 
 def less_loaded_of_two(members: list[Member], router: "Router", now: float) -> str:
@@ -243,9 +262,16 @@
             self._targets[node] = Target()
         return self._targets[node]
 
+    def find_target(self, node: str) -> Target:
+        """Return what is known of the load of a node, not to be changed.
+
+        Unlike ``target`` it creates no entry.
+        """
+        return self._targets.get(node, UNUSED_TARGET)
+
     def calls_per_slot(self, member: Member, now: float) -> float:
         """Return the number of calls for each slot of a node."""
-        return self.target(member.node).calls_per_slot(now, member.slots)
+        return self.find_target(member.node).calls_per_slot(now, member.slots)
 
     def record_start(self, node: str) -> None:
         """Record that an attempt was sent to a node."""
@@ -286,19 +312,36 @@
             region = self.own.region
             local = [member for member in candidates if member.region == region]
             candidates = local or candidates
-        usable = [
-            member
-            for member in candidates
-            if member.node not in excluded
-            and not self._health.is_ejected(member.node, now)
-        ]
-        if not usable:
-            usable = [member for member in candidates if member.node not in excluded]
+        remaining = [member for member in candidates if member.node not in excluded]
         admitting = [
-            member for member in usable if self._admits(member, importance, now)
+            member
+            for member in self.usable(remaining, now)
+            if self._admits(member, importance, now)
         ]
         return self._placement.pick(admitting, self, now)
 
+    def usable(self, members: list[Member], now: float) -> list[Member]:
+        """Return the members that are not ejected, or all if there are none."""
+        is_ejected = self._health.is_ejected
+        fit = [member for member in members if not is_ejected(member.node, now)]
+        return fit or members
+
+    def is_ejected(self, member: Member, now: float) -> bool:
+        """Return whether a node is ejected because of its answers."""
+        return self._health.is_ejected(member.node, now)
+
+    def would_admit(self, member: Member, importance: Importance, now: float) -> bool:
+        """Return whether a node would admit a call, by its last reply."""
+        return self.find_target(member.node).would_admit(importance, now)
+
+    def preferred(self, members: list[Member], now: float) -> list[Member]:
+        """Return those of the admitting members that are drawn from now."""
+        return self._placement.preferred(members, self, now)
+
+    def members_of(self, service: str) -> list[Member]:
+        """Return all entries with a service, whether or not they may be chosen."""
+        return [each for each in self._members.members() if each.service == service]
+
     def has_backend_server(
         self, service: str, regions: frozenset[str] | None = None
     ) -> bool:
@@ -317,7 +360,7 @@
         return member is None or member.region == self.own.region
 
     def _admits(self, member, importance, now):
-        if self.target(member.node).would_admit(importance, now):
+        if self.find_target(member.node).would_admit(importance, now):
             return True
         return self.rng.random() < SHED_PROBE_RATIO
 
@@ -329,15 +372,17 @@
         if key not in self._by_service:
             if len(self._by_service) >= MAX_INDEXED:
                 self._by_service.clear()
-            self._by_service[key] = self._find_candidates(service, regions)
+            self._by_service[key] = self.find_candidates(service, regions)
         return self._by_service[key]
 
-    def _find_candidates(self, service, regions):
+    def find_candidates(
+        self, service: str, regions: frozenset[str] | None
+    ) -> list[Member]:
+        """Return the nodes to choose from, without the index of earlier results."""
         serving = [
             member
-            for member in self._members.members()
-            if member.service == service
-            and member.accepts_calls
+            for member in self.members_of(service)
+            if member.accepts_calls
             and member.data_centre not in self._view.evacuated
             and (regions is None or member.region in regions)
         ]
