Separate matching, regions and entry limits from their changes of state

find_route draws a service of a traffic split, allowed_regions keeps its result, and the admitted share of a route is evaluated when a call is admitted. match_route, intersect_regions and EntryLimit.explain give the same answers and change nothing.

--- a/src/monsoonmill/decisions/admission/entry_limit.py
+++ b/src/monsoonmill/decisions/admission/entry_limit.py
@@ -10,10 +10,11 @@
 from collections.abc import Callable
 from random import Random
 
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission.chain_admission import (
+    TOP_RANK,
     ReturningCallers,
     RouteThresholds,
     draw_retry_after_s,
@@ -129,6 +130,12 @@
         """Return the admitted shares of the limited routes, for operators."""
         return {}
 
+    def explain(
+        self, route: str, service: str, importance: Importance, now: float
+    ) -> dict:
+        """Return the present limit of a route as plain data; changes no state."""
+        return {}
+
 
 class UnrankedEntryLimit(EntryLimit):
     """Base of the limits that do not distinguish calls of the same route."""
@@ -239,6 +246,15 @@
         limit.lost += lost
         limit.evaluate(now)
 
+    def explain(self, route, service, importance, now):
+        """Return the admitted share of a route, from 0 to 1."""
+        known = self._routes.get(route)
+        if known is None or known.share >= 1 or importance is Importance.CRITICAL:
+            return {"admitted_share": 1.0}
+        limit = evolve(known)
+        limit.evaluate(now)
+        return {"admitted_share": round(limit.share, 2)}
+
     def shares(self):
         """Return the admitted shares of the limited routes."""
         return {
@@ -304,6 +320,14 @@
         """Return the threshold standings of the limited routes."""
         return self._thresholds.snapshot(self._now)
 
+    def explain(self, route, service, importance, now):
+        """Return a route's threshold, and the standings of its calls by rank."""
+        return {
+            "threshold": round(self._thresholds.value(route, service, now), 1),
+            "lowest_standing": standing(importance, 0),
+            "highest_standing": standing(importance, TOP_RANK),
+        }
+
 
 class ObjectivesEntryLimit(EntryLimit):
     """Chooses a limit by the configuration in force.
@@ -359,3 +383,7 @@
     def shares(self):
         """Return the admitted shares of the limited routes."""
         return self._limit.shares()
+
+    def explain(self, route, service, importance, now):
+        """Return the present limit of a route as plain data."""
+        return self._limit.explain(route, service, importance, now)
--- a/src/monsoonmill/decisions/calls/authorization.py
+++ b/src/monsoonmill/decisions/calls/authorization.py
@@ -126,6 +126,23 @@
     def find_route(self, arrival: CallArrived) -> Route:
         """Return the route of a request, with the service that receives it.
 
+        Raises
+        ------
+        CallRefusedError
+            The service or the route is not in the configuration.
+        """
+        req = arrival.request
+        return self._pick_share(
+            self.match_route(
+                arrival.virtual_host, arrival.service, req.method, req.path
+            )
+        )
+
+    def match_route(
+        self, virtual_host: str, service: str, method: str, path: str
+    ) -> Route:
+        """Return the route that a request matches, before its traffic is split.
+
         Raises
         ------
         CallRefusedError
@@ -133,13 +150,11 @@
         """
         if self._config.revision == 0:
             raise CallRefusedError(Reason.NO_CONFIGURATION)
-        virtual_host, service = arrival.virtual_host, arrival.service
         if not virtual_host and service not in self._config.services:
             raise CallRefusedError(Reason.NO_SERVICE, service)
-        method, path = arrival.request.method, arrival.request.path
         for pattern in self._patterns.get(virtual_host or service, ()):
             if pattern.matches(method, path):
-                return self._pick_share(pattern.route)
+                return pattern.route
         raise CallRefusedError(Reason.NO_ROUTE, f"{method} {path}")
 
     def _pick_share(self, route):
@@ -216,11 +231,17 @@
         if names not in self._region_sets:
             if len(self._region_sets) >= MAX_REGION_SETS:
                 self._region_sets.clear()
-            entries = [self._config.routes.get(route)]
-            entries += [self._config.organisations.get(name) for name in organisations]
-            self._region_sets[names] = _intersect_regions(entries)
+            self._region_sets[names] = self.intersect_regions(route, *organisations)
         return self._region_sets[names]
 
+    def intersect_regions(
+        self, route: str, *organisations: str
+    ) -> frozenset[str] | None:
+        """Return the same as ``allowed_regions``, without keeping the result."""
+        entries = [self._config.routes.get(route)]
+        entries += [self._config.organisations.get(name) for name in organisations]
+        return _intersect_regions(entries)
+
     def timeout_ms(self, service: str) -> int:
         """Return the time limit of a call whose caller sets none."""
         return self._config.services[service].timeout_ms
