Add monsoonctl explain

Operators could only guess from members, status and counters why a request goes where it does. The command shows the route, what binds the call, and for each node whether it may be chosen and by which data. It takes no API key, and an organisation that is not in the configuration is not repeated in the error, since it may be a key given by mistake.

--- a/src/monsoonmill/admin_client.py
+++ b/src/monsoonmill/admin_client.py
@@ -1,6 +1,8 @@
 """HTTP client of a node's administration API."""
 
+from collections.abc import Mapping
 from json import JSONDecodeError
+from urllib.parse import urlencode
 
 from urllib3 import HTTPConnectionPool, Timeout
 from urllib3.exceptions import HTTPError
@@ -86,6 +88,12 @@
         """Return the node's counters by name."""
         return self._request_json("GET", "/counters")
 
+    def explain(self, fields: Mapping[str, str]) -> dict:
+        """Return where a request would go, by the fields of a ``RequestQuery``."""
+        # Arguments that are not valid UTF-8 contain surrogates.
+        query = urlencode(fields, errors="surrogateescape")
+        return self._request_json("GET", f"/explain?{query}")
+
     def config(self) -> Config:
         """Return the node's current configuration."""
         response = self._request("GET", "/config")
--- a/src/monsoonmill/ctl.py
+++ b/src/monsoonmill/ctl.py
@@ -156,6 +156,36 @@
         """Show what the node has sent to other nodes and asked of the store."""
         return format_ledger(self._client.counters())
 
+    def explain(
+        self,
+        path: str = "",
+        method: str = "GET",
+        service: str = "",
+        virtual_host: str = "",
+        organisation: str = "",
+    ) -> str:
+        """Show where a request would go now, and why, without sending it.
+
+        Parameters
+        ----------
+        path : str
+            Path of the request.
+        method : str
+            Its method.
+        service, virtual_host : str
+            What receives it; give one of them.
+        organisation : str
+            Name of the calling organisation; by default its rules are left out.
+        """
+        fields = {
+            "path": str(path),
+            "method": str(method),
+            "service": str(service),
+            "virtual_host": str(virtual_host),
+            "organisation": str(organisation),
+        }
+        return _format_json(self._client.explain(fields))
+
     def drain(self) -> str:
         """Tell the node to leave the fleet after finishing its calls in progress."""
         self._client.drain()
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -16,10 +16,15 @@
 from monsoonmill.decisions.configuration.configuration import ConfigRegister, ConfigView
 from monsoonmill.decisions.configuration.evacuation_register import EvacuationRegister
 from monsoonmill.decisions.decision import SignalBus
+from monsoonmill.decisions.explanation import RequestExplainer
 from monsoonmill.decisions.lifecycle.backend_identity import BackendIdentity
 from monsoonmill.decisions.lifecycle.draining import Draining
 from monsoonmill.decisions.lifecycle.readiness import Readiness
-from monsoonmill.decisions.lifecycle.signals import StatusReport, StatusRequested
+from monsoonmill.decisions.lifecycle.signals import (
+    ExplainRequested,
+    StatusReport,
+    StatusRequested,
+)
 from monsoonmill.decisions.members.membership import Membership
 from monsoonmill.decisions.members.seed_directory import SeedDirectory
 from monsoonmill.decisions.members.watchers import WatcherChoice
@@ -34,6 +39,7 @@
     make_quota,
     make_thread_limit,
 )
+from monsoonmill.decisions.request_query import RequestQuery
 from monsoonmill.decisions.retries.call_amplification import CallAmplification
 from monsoonmill.decisions.routing.router import Router
 from monsoonmill.model import Address, Member
@@ -94,6 +100,9 @@
         )
         thread_limit = make_thread_limit(cfg)
         entry_limit = make_entry_limit(cfg, rng, self.authorization, self.counters)
+        self.explainer = RequestExplainer(
+            self.authorization, self.router, entry_limit, self.view
+        )
         nested_thresholds = RouteThresholds()
         checks = CallChecks(
             cfg,
@@ -179,6 +188,8 @@
         """Handle a signal, and return those that tasks have to execute."""
         if isinstance(signal, StatusRequested):
             return (StatusReport(signal.request, self.report(signal.topic)),)
+        if isinstance(signal, ExplainRequested):
+            return (StatusReport(signal.request, self.explain(signal.query, now)),)
         return self._bus.handle(signal, now)
 
     def tick(self, now: float) -> Iterator[object]:
@@ -189,6 +200,10 @@
         """Return when ``tick`` is due next; None for never."""
         return self._bus.next_due()
 
+    def explain(self, query: RequestQuery, now: float) -> dict:
+        """Return where a request would go now, as plain data; changes no state."""
+        return self.explainer.explain(query, now)
+
     def report(self, topic: str) -> dict:
         """Return the state of a topic as plain data."""
         if topic == "members":
--- a/src/monsoonmill/decisions/lifecycle/signals.py
+++ b/src/monsoonmill/decisions/lifecycle/signals.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from monsoonmill.decisions.request_query import RequestQuery
 from monsoonmill.model import Address
 
 
@@ -64,6 +65,14 @@
     topic: str
 
 
+@frozen
+class ExplainRequested:
+    """An operator asks where a request would go."""
+
+    request: str
+    query: RequestQuery
+
+
 @frozen
 class StatusReport:
     """The requested status as plain data."""
--- a/src/monsoonmill/node/admin.py
+++ b/src/monsoonmill/node/admin.py
@@ -1,6 +1,7 @@
 """Administration API of a node."""
 
 from tomllib import TOMLDecodeError, loads
+from urllib.parse import parse_qsl
 
 from cheroot.server import HTTPRequest
 
@@ -8,6 +9,7 @@
 from monsoonmill.decisions.configuration.configuration import ConfigView
 from monsoonmill.decisions.configuration.signals import NoteAccepted
 from monsoonmill.decisions.lifecycle.signals import DrainRequested
+from monsoonmill.decisions.request_query import QueryError, RequestQuery
 from monsoonmill.errors import NoteError, PlatformError, StaleNoteError
 from monsoonmill.node.task_client import NoAnswerError, NodeTaskClient
 from monsoonmill.node.web import App, Problem, WebRequest, WebResponse
@@ -34,9 +36,11 @@
             return Problem(503, "no-answer", str(exc)).response()
 
     def _route(self, req):
-        path = req.uri.partition("?")[0]
+        path, _, query = req.uri.partition("?")
         if req.method == "GET" and path in TOPICS:
             return WebResponse.from_json(200, self._task_client.status(TOPICS[path]))
+        if req.method == "GET" and path == "/explain":
+            return self._explain(query)
         if req.method == "GET" and path == "/config":
             return self._config()
         if req.method == "GET" and path == "/metrics":
@@ -54,6 +58,14 @@
         body = self._codec.encode(self._view.config)
         return WebResponse(200, (("Content-Type", "application/json"),), body)
 
+    def _explain(self, encoded):
+        fields = dict(parse_qsl(encoded, keep_blank_values=True))
+        try:
+            query = RequestQuery.from_fields(fields, self._view.config)
+        except QueryError as exc:
+            return Problem(400, "bad-query", str(exc)).response()
+        return WebResponse.from_json(200, self._task_client.explain(query))
+
     def _metrics(self):
         counters = self._task_client.status("counters")
         lines = (
--- a/src/monsoonmill/node/operators.py
+++ b/src/monsoonmill/node/operators.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Callable, Iterable
 from json import dumps
+from urllib.parse import parse_qsl
 
+from monsoonmill.clock import Clock
 from monsoonmill.codec_json import JsonConfigCodec
 from monsoonmill.counters import LatencyHistogram
 from monsoonmill.decisions.calls.signals import Answer
 from monsoonmill.decisions.core import NodeCore
 from monsoonmill.decisions.lifecycle.signals import DrainRequested
+from monsoonmill.decisions.request_query import QueryError, RequestQuery
 from monsoonmill.http1.server import WebApp
 from monsoonmill.model import HttpRequest, HttpResponse
 
@@ -20,12 +23,17 @@
 
     Parameters
     ----------
+    clock : Clock
+        Clock of the node's task.
     latency : callable
         Returns the histogram of call latencies.
     """
 
-    def __init__(self, core: NodeCore, latency: Callable[[], LatencyHistogram]):
+    def __init__(
+        self, core: NodeCore, clock: Clock, latency: Callable[[], LatencyHistogram]
+    ):
         self._core = core
+        self._clock = clock
         self._latency = latency
 
     def request_signals(self, req: HttpRequest, now: float) -> Iterable[object]:
@@ -44,10 +52,22 @@
         if method == "GET" and path[1:] in TOPICS:
             report = self._core.report(path[1:])
             return HttpResponse(200, JSON, dumps(report, default=str).encode())
+        if (method, path) == ("GET", "/explain"):
+            return self._explain(req.path.partition("?")[2])
         if (method, path) == ("POST", "/drain"):
             return HttpResponse(202, JSON, b'{"state": "draining"}')
         return HttpResponse(404, JSON, b'{"title": "not-found"}')
 
+    def _explain(self, encoded):
+        fields = dict(parse_qsl(encoded, keep_blank_values=True))
+        try:
+            query = RequestQuery.from_fields(fields, self._core.view.config)
+        except QueryError as exc:
+            problem = {"title": "bad-query", "detail": str(exc)}
+            return HttpResponse(400, JSON, dumps(problem).encode())
+        report = self._core.explain(query, self._clock.now())
+        return HttpResponse(200, JSON, dumps(report).encode())
+
     def _metrics(self):
         # Imported on first use: a node whose metrics are not read starts faster and
         # uses less memory.
--- a/src/monsoonmill/node/task_client.py
+++ b/src/monsoonmill/node/task_client.py
@@ -4,7 +4,8 @@
 
 from monsoonmill.decisions.calls.signals import Answer, CallArrived, CallerDisconnected
 from monsoonmill.decisions.configuration.signals import NoteSubmitted
-from monsoonmill.decisions.lifecycle.signals import StatusRequested
+from monsoonmill.decisions.lifecycle.signals import ExplainRequested, StatusRequested
+from monsoonmill.decisions.request_query import RequestQuery
 from monsoonmill.errors import MonsoonError
 from monsoonmill.node.task import NodeTask, ShuttingDown, TaskRequest
 from monsoonmill.notes import ReleaseNote
@@ -62,6 +63,13 @@
             name, StatusRequested(name, topic), STATUS_TIMEOUT_S
         ).report
 
+    def explain(self, query: RequestQuery) -> dict:
+        """Return where a request would go now, as plain data."""
+        name = f"explain-{self.next_name()}"
+        return self._request(
+            name, ExplainRequested(name, query), STATUS_TIMEOUT_S
+        ).report
+
     def submit_note(self, note: ReleaseNote) -> object:
         """Submit a release note; return ``NoteAccepted`` or ``NoteRefused``."""
         name = f"note-{self.next_name()}"
--- a/src/monsoonmill/platform/node.py
+++ b/src/monsoonmill/platform/node.py
@@ -89,7 +89,7 @@
             cfg.http.max_service_connections,
         )
         memory = MemoryBudget(cfg.http.max_held_bytes)
-        operator_app = OperatorApp(self.core, lambda: self.task.latency)
+        operator_app = OperatorApp(self.core, clock, lambda: self.task.latency)
         apps = (
             (node_file.readiness_address, ReadinessApp(self.is_ready), limits),
             (
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -40,6 +40,9 @@
     def status(self, topic):
         return {"topic": topic}
 
+    def explain(self, query):
+        return {"path": query.path, "organisation": query.organisation}
+
     def submit_note(self, note):
         try:
             self.view.config = apply_note(self.view.config, note)
@@ -140,6 +143,22 @@
     assert server.task_client.posted == [DrainRequested()]
 
 
+def test_explain_passes_the_request_on_and_reports_bad_input_in_one_line(server, run):
+    arguments = ("--service", "donkeys", "--path", "/a b?c=1&path=/d")
+    expected = {"path": "/a b?c=1&path=/d", "organisation": ""}
+    assert loads(run("explain", *arguments)) == expected
+    for bad, problem in (
+        ((), "service"),
+        (("--service", "donkeys"), "path"),
+        ((*arguments, "--method", "A B"), "method"),
+        # A key given by mistake must not be shown.
+        ((*arguments, "--organisation", "secret"), "organisation: not in"),
+    ):
+        output = run("explain", *bad, status=2)
+        assert problem in output and "secret" not in output
+        assert len(output.splitlines()) == 1
+
+
 def test_unreachable_node_and_invalid_settings_errors_are_one_line(tmp_path, capsys):
     config = tmp_path / "ctl.toml"
     config.write_text("[ctl]\ntimeout_ms = 0\n")
