--- a/src/monsoonmill/decisions/admission/concurrency_limit.py
+++ b/src/monsoonmill/decisions/admission/concurrency_limit.py
@@ -10,11 +10,12 @@
 from enum import Enum, unique
 from math import sqrt
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from monsoonmill.chart import bind_methods
 from monsoonmill.decisions.admission.route_latency import RouteLatencies
 from monsoonmill.settings import AdmissionSettings
+from monsoonmill.value_classes import frozen
 
 MIN_SAMPLES = 20
 """Runs that a window needs before it is evaluated."""
--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -1,6 +1,6 @@
 """Admission with a concurrency limit and a bounded, fair queue."""
 
-from attrs import define, frozen
+from attrs import define
 
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.admission.admission import Admission
@@ -28,6 +28,7 @@
 from monsoonmill.model import Config
 from monsoonmill.reasons import Importance, Reason
 from monsoonmill.settings import AdmissionSettings
+from monsoonmill.value_classes import frozen
 
 STANDING_QUEUE_SHARE = 0.1
 """Share of the maximum wait that applies while the queue never empties."""
--- a/src/monsoonmill/decisions/admission/server_pace.py
+++ b/src/monsoonmill/decisions/admission/server_pace.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict
 
-from attrs import define, frozen
+from attrs import define
 
 from monsoonmill.chart import bind_methods
 from monsoonmill.decisions.admission.concurrency_limit import (
@@ -17,6 +17,7 @@
     RunSample,
     ServerEvent,
 )
+from monsoonmill.value_classes import frozen
 
 START_SHARE = 0.1
 """Share of the slots with which a ramp starts. A server at half its speed and a tenth
--- a/src/monsoonmill/decisions/admission/signals.py
+++ b/src/monsoonmill/decisions/admission/signals.py
@@ -1,8 +1,7 @@
 """Signals about slots at the node's own backend server."""
 
-from attrs import frozen
-
 from monsoonmill.reasons import Importance, Reason
+from monsoonmill.value_classes import frozen
 
 
 @frozen
--- a/src/monsoonmill/decisions/calls/running_requests.py
+++ b/src/monsoonmill/decisions/calls/running_requests.py
@@ -5,9 +5,8 @@
 organisation, and knows whether the chain has left a region.
 """
 
-from attrs import frozen
-
 from monsoonmill.reasons import Importance
+from monsoonmill.value_classes import frozen
 
 
 @frozen
--- a/src/monsoonmill/decisions/routing/pace_placement.py
+++ b/src/monsoonmill/decisions/routing/pace_placement.py
@@ -9,8 +9,6 @@
 from operator import attrgetter
 from statistics import median
 
-from attrs import frozen
-
 from monsoonmill.decisions.routing.router import (
     MAX_PREFERRED_LOAD,
     NearestPlacement,
@@ -18,6 +16,7 @@
     Router,
 )
 from monsoonmill.model import Config, Member
+from monsoonmill.value_classes import frozen
 
 DATA_CENTRE_DISTANCE_S = 0.001
 """One-way time to another data centre of the region, as stated by the operators."""
