--- a/src/monsoonmill/decisions/admission/signals.py
+++ b/src/monsoonmill/decisions/admission/signals.py
@@ -60,7 +60,8 @@
     failed : bool
         Whether it ended in an error, which makes its latency meaningless.
     not_run : bool
-        Whether the backend server reported that it was full and ran nothing.
+        Whether the backend server reported that it ran nothing, since it was full or
+        the request was meant for another one.
     misdirected : bool
         Whether the backend server rejected it as meant for another server.
     not_sent : bool
--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -219,7 +219,7 @@
         self.retries_left += min(max(left, 0), self.delegated_retries)
         self.delegated_retries = 0
 
-    def has_free_placement(self, placements: int) -> bool:
+    def is_uncharged_placement(self, placements: int) -> bool:
         """Return whether the failed attempt may be placed elsewhere without a retry.
 
         An evacuated data centre refuses a call only once, since all its nodes are
@@ -293,7 +293,7 @@
 
     def charge_retry(self, arg):
         """Charge a retry to the limit that applies to the last failure."""
-        if self.has_free_placement(self.controller.cfg.call.placements):
+        if self.is_uncharged_placement(self.controller.cfg.call.placements):
             self.placement_retries += self.failure.reason is not Reason.EVACUATED
         else:
             self.retries_left -= 1
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -163,7 +163,7 @@
                 reason=exc.reason,
                 detail=exc.detail,
                 retry_after_s=exc.retry_after_s,
-                max_retry_after_s=self._max_wait_s(signal, exc),
+                max_retry_after_s=self._retry_after_cap_s(signal, exc),
             )
             return (answer, self._report_refused(signal, exc))
         self._calls[call.name] = call
@@ -173,7 +173,7 @@
         call.chart = CALL_CHART.start(call)
         return self._dispatch(call.name, "accepted", now)
 
-    def _max_wait_s(self, arrival, exc):
+    def _retry_after_cap_s(self, arrival, exc):
         """Return the longest wait that a caller refused on arrival can be told."""
         if not self._is_capped(exc.reason):
             return inf
@@ -378,7 +378,7 @@
         failure = call.failure
         if failure.reason not in RETRY_COUNTERS:
             return RetryReason.NOT_IDEMPOTENT
-        if call.has_free_placement(self.cfg.call.placements):
+        if call.is_uncharged_placement(self.cfg.call.placements):
             return None
         if failure.outcome is not Outcome.NOT_RUN and not call.route.idempotent:
             return RetryReason.NOT_IDEMPOTENT
--- a/src/monsoonmill/platform/store_client.py
+++ b/src/monsoonmill/platform/store_client.py
@@ -181,7 +181,7 @@
     timeout_s : float
         Time limit for connecting and for each read of the response.
     prefix : str
-        Prefix of all keys except the configuration's.
+        Prefix of all keys except those of the operators.
     """
 
     def __init__(self, address: Address, timeout_s: float, prefix: str):
