--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -209,18 +209,12 @@
 
     def threshold(self, now):
         """Return the lowest standing for which there is capacity; 0 for all."""
-        if self._controller is None or self._is_ramping(now):
+        if self._controller is None or self._cold.is_cold(now):
+            # The refusals of a cold server say nothing of the capacity of its service.
             return 0
         self._controller.evaluate(now)
         return self._controller.threshold
 
-    def _is_ramping(self, now):
-        """Return whether the server is cold or has just started.
-
-        Its refusals then say nothing of the capacity of its service.
-        """
-        return self._cold.is_cold(now) or self._limit.is_reduced
-
     def record_return(self, now):
         """Ramp the server up again, which has had no calls for a time."""
         self._limit.record_event(ServerEvent.STARTED, now)
@@ -295,7 +289,7 @@
         if self._queue and self._cold.is_cold(now):
             # An arrival must not take a place that has just become free.
             yield from self._admit_waiting(now)
-        if self._controller is not None and not self._is_ramping(now):
+        if self._controller is not None and not self._cold.is_cold(now):
             self._controller.record_arrival(call.standing, len(self._queue), now)
         if self._would_miss_deadline(call, now):
             yield NotAdmitted(call.attempt, Reason.DEADLINE, 0.0)
@@ -498,7 +492,7 @@
             if self._cold.is_cold(now):
                 self._counters.add(COLD_REFUSED)
             self._level.record_refused(call.importance, now)
-        if self._controller is not None and not self._is_ramping(now):
+        if self._controller is not None and not self._cold.is_cold(now):
             self._controller.record_refusal(now)
         return NotAdmitted(call.attempt, reason, RETRY_AFTER_S)
 
