Report no threshold while a server is ramped up

Ruled out: not counting refusals during the ramp (the same test fails), counting nothing (the test of a restarted node fails).

--- a/src/monsoonmill/decisions/admission/queued.py
+++ b/src/monsoonmill/decisions/admission/queued.py
@@ -209,8 +209,9 @@
 
     def threshold(self, now):
         """Return the lowest standing for which there is capacity; 0 for all."""
-        if self._controller is None or self._cold.is_cold(now):
-            # The refusals of a cold server say nothing of the capacity of its service.
+        is_starting = self._cold.is_cold(now) or self._limit.is_reduced
+        if self._controller is None or is_starting:
+            # What such a server refuses says nothing of the capacity of its service.
             return 0
         self._controller.evaluate(now)
         return self._controller.threshold
