--- a/review/harness2/harness.py
+++ b/review/harness2/harness.py
@@ -452,6 +452,7 @@
         self.name = f"sidecar-{zone}-{number}"
         self.zone, self.region, self.service = zone, region, service
         self.process = None
+        self.store_address = None
         self.sends_heartbeats = True
         self.target = Target(
             deployment.record,
@@ -476,7 +477,7 @@
                 region=self.region,
                 service=self.service,
                 seeds=json.dumps(seeds),
-                store="%s:%d" % self.deployment.store_address,
+                store="%s:%d" % (self.store_address or self.deployment.store_address),
                 **self.deployment.ports,
             )
         )
