--- a/review/harness2/harness.py
+++ b/review/harness2/harness.py
@@ -12,13 +12,12 @@
 import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 from pathlib import Path
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 COMMAND = ("python3", "-m", "monsoonmill.platform.program")
@@ -465,6 +464,7 @@
         self._log = deployment.directory / f"{self.name}.log"
 
     def write_settings(self):
+        address = self.store_address or self.deployment.store_address
         seeds = [
             f"{machine.ip}:{self.deployment.ports['control']}"
             for machine in self.deployment.machines[:3]
@@ -477,7 +477,7 @@
                 region=self.region,
                 service=self.service,
                 seeds=json.dumps(seeds),
-                store="%s:%d" % (self.store_address or self.deployment.store_address),
+                store=":".join(map(str, address)),
                 **self.deployment.ports,
             )
         )
