Log which nodes watch the configuration

Cause: nothing in the logs told whether a node that keeps an old configuration watches the store, relies on others, or watches and gets nothing. Change: watcher_chosen and watcher_replaced name the watchers of the data centre, and the status has is_watcher. No change of behaviour.

--- a/src/monsoonmill/decisions/members/watchers.py
+++ b/src/monsoonmill/decisions/members/watchers.py
@@ -6,6 +6,7 @@
 from monsoonmill.decisions.members.rendezvous import rank_members
 from monsoonmill.decisions.members.signals import MembersChanged
 from monsoonmill.decisions.timers import Timers
+from monsoonmill.eventlog import get_logger
 from monsoonmill.model import Member, MemberState
 from monsoonmill.settings import PlatformSettings, Settings
 
@@ -15,6 +16,8 @@
 """Time after the start in which a node gets to know the others. Each node that knows
 nobody would otherwise choose itself."""
 
+log = get_logger("watchers")
+
 
 def choose_watchers(members: Membership, cfg: PlatformSettings) -> list[Member]:
     """Return the nodes of the local data centre that watch the platform.
@@ -43,9 +46,9 @@
         self._cfg = cfg.platform
         self._members = members
         self._register = register
-
         self._timers = Timers()
         self._knows_fleet = False
+        self._is_watcher = False
 
     def handlers(self):
         """Return the handlers of this decision."""
@@ -71,4 +74,16 @@
         if not self._knows_fleet:
             return
         watchers = choose_watchers(self._members, self._cfg)
-        yield from self._register.set_watching(self._members.own in watchers, now)
+        is_watcher = self._members.own in watchers
+        if is_watcher != self._is_watcher:
+            self._is_watcher = is_watcher
+            log.info(
+                "watcher_chosen" if is_watcher else "watcher_replaced",
+                watchers=[member.node for member in watchers],
+                alive=sum(1 for _ in self._members.live()),
+            )
+        yield from self._register.set_watching(is_watcher, now)
+
+    def status(self):
+        """Return whether the local node is a watcher."""
+        return {"is_watcher": self._is_watcher}
