Have stand-ins watch the store for nodes that it turns away

Cause: watchers were chosen by being alive. A node that the store turns away is alive, so it stayed a watcher, and no other node reads the store after its start. Ruled out, by the logs of (12 nodes watcher_chosen at the start, no other line until the end of the outage; first config_adopted when a watcher is served again, all others within 10 ms): other nodes read an old value; gossip lacks the version; an adopted configuration still accepts the key. Change: after two calls in a row that the store did not carry out, a node that may have to watch says so in its member entry (chart store_reach) and tells its stand-ins at once. The first nodes of the ranking that the store serves watch, two stand-ins for each watcher at most. A failed watch is followed by a read, and a node that is turned away reads until it is answered. The same choice registers seeds, which lapsed after 60 s of such an outage, and brings evacuation orders. A mutant that chooses by being alive is caught. No call's way gets a store call.

--- a/src/monsoonmill/decisions/configuration/configuration.py
+++ b/src/monsoonmill/decisions/configuration/configuration.py
@@ -26,6 +26,7 @@
     ConfigChanged,
     NoteRefused,
     NoteSubmitted,
+    StoreReachChanged,
 )
 from monsoonmill.decisions.decision import Decision
 from monsoonmill.decisions.signals import (
@@ -54,7 +55,9 @@
 ACCEPT_TIMEOUT_S = 20.0
 """Time within which the operator gets an answer to a release note."""
 WATCH = "config-watch"
-FIRST_READ = "config-read"
+CONFIG_READ = "config-read"
+MAX_READ_BACKOFF = 3
+"""Factor by which the time between failed reads grows at most."""
 REPAIR_WRITE = "config-repair"
 """Overwrites an older stored configuration with the one in force."""
 
@@ -100,6 +103,7 @@
         self._wants_watch = False
         self._config_requested_at = float("-inf")
         self._malformed_version = 0
+        self._failed_reads = 0
 
     def handlers(self):
         """Return the handlers of this decision."""
@@ -107,6 +111,7 @@
             NoteSubmitted: self.on_note_submitted,
             PlatformDone: self.on_platform_done,
             PlatformFailed: self.on_platform_failed,
+            StoreReachChanged: self.on_store_reach_changed,
             ConfigRequest: self.on_config_request,
             ConfigReply: self.on_config_reply,
             ConfigDelta: self.on_config_delta,
@@ -119,7 +124,7 @@
 
     def start(self, now):
         """Read the stored configuration from the platform."""
-        yield PlatformRead(FIRST_READ, CONFIG_KEY, self._also)
+        yield PlatformRead(CONFIG_READ, CONFIG_KEY, self._also)
 
     def set_watching(self, wanted: bool, now: float):
         """Start to watch the stored configuration, or stop after the current watch."""
@@ -141,7 +146,7 @@
 
     def on_platform_done(self, signal, now):
         """Process a value that was read, or a finished write."""
-        if signal.request in (WATCH, FIRST_READ):
+        if signal.request in (WATCH, CONFIG_READ):
             yield from self._on_value_read(signal, now)
             return
         note = self._pending.get(signal.request)
@@ -158,6 +163,7 @@
 
     def _on_value_read(self, signal, now):
         self.has_read_platform = True
+        self._failed_reads = 0
         has_newer = False
         # The others are evacuation orders.
         values = [stored for stored in signal.values if stored.key == CONFIG_KEY]
@@ -183,7 +189,7 @@
             return
         yield from self.adopt(config)
         is_older = config.revision < self.view.config.revision
-        if request == WATCH and is_older and not self.codec.is_read_only:
+        if self._is_watching and is_older and not self.codec.is_read_only:
             value = self.codec.encode(self.view.config)
             yield PlatformSwap(REPAIR_WRITE, CONFIG_KEY, stored.version, value)
 
@@ -193,8 +199,15 @@
 
     def on_platform_failed(self, signal, now):
         """Schedule a retry, or read again after a conflicting write."""
-        if signal.request in (WATCH, FIRST_READ):
-            self._schedule_retry(signal.request, now)
+        if signal.request == WATCH:
+            self._schedule_retry(WATCH, now)
+            # The next watch may wait for seconds before it shows whether the store
+            # serves this node; a read shows it at once.
+            self._schedule_read(now)
+            return
+        if signal.request == CONFIG_READ:
+            self._failed_reads += 1
+            self._schedule_read(now)
             return
         note = self._pending.get(signal.request)
         if note is None:
@@ -204,14 +217,27 @@
         note.chart.send("write_conflict" if is_conflict else "request_failed")
         yield from self._flush_note(note, now)
 
-    def _schedule_retry(self, request, now):
+    def on_store_reach_changed(self, signal, now):
+        """Read until the store serves this node again, whether it is to watch or not.
+
+        Other nodes would never learn of it if this one made no more calls.
+        """
+        if not signal.is_reached:
+            self._schedule_read(now)
+        return ()
+
+    def _schedule_read(self, now):
+        factor = min(max(self._failed_reads, 1), MAX_READ_BACKOFF)
+        self._schedule_retry(CONFIG_READ, now, factor)
+
+    def _schedule_retry(self, request, now, factor=1):
         delay_s = self.cfg.platform.poll_floor_ms / 1000
-        self.timers.set(request, now + delay_s * self.rng.uniform(1, 2))
+        self.timers.set(request, now + delay_s * factor * self.rng.uniform(1, 2))
 
     def tick(self, now):
         """Repeat the platform requests that are due."""
         for request in self.timers.pop_due(now):
-            if request == FIRST_READ:
+            if request == CONFIG_READ:
                 yield from self.start(now)
             elif request == WATCH:
                 yield from self._restart_watch(now)
--- a/src/monsoonmill/decisions/configuration/evacuation_register.py
+++ b/src/monsoonmill/decisions/configuration/evacuation_register.py
@@ -10,7 +10,7 @@
 from attrs import evolve
 
 from monsoonmill.decisions.configuration.configuration import (
-    FIRST_READ,
+    CONFIG_READ,
     WATCH,
     ConfigView,
 )
@@ -61,7 +61,7 @@
 
     def on_platform_done(self, signal, now):
         """Adopt the orders that were read or that a watch reports."""
-        if signal.request not in (WATCH, FIRST_READ):
+        if signal.request not in (WATCH, CONFIG_READ):
             return
         new = self._stored
         changes = []
--- a/src/monsoonmill/decisions/configuration/signals.py
+++ b/src/monsoonmill/decisions/configuration/signals.py
@@ -61,3 +61,10 @@
 
     old: Evacuations
     new: Evacuations
+
+
+@frozen
+class StoreReachChanged:
+    """The platform's store stopped serving the local node, or serves it again."""
+
+    is_reached: bool
--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -15,6 +15,7 @@
 from monsoonmill.decisions.calls.running_requests import RunningRequests
 from monsoonmill.decisions.configuration.configuration import ConfigRegister, ConfigView
 from monsoonmill.decisions.configuration.evacuation_register import EvacuationRegister
+from monsoonmill.decisions.configuration.store_reach import StoreReach
 from monsoonmill.decisions.decision import SignalBus
 from monsoonmill.decisions.explanation import RequestExplainer
 from monsoonmill.decisions.lifecycle.backend_identity import BackendIdentity
@@ -151,6 +152,7 @@
             self.counters,
         )
         self.backend = BackendIdentity()
+        self.store_reach = StoreReach(self.counters)
         self.watchers = WatcherChoice(cfg, self.members, self.register)
         self.seeds = SeedDirectory(cfg, self.members, rng, self.counters)
         self.readiness = Readiness(cfg, self.members, self.view, self.register)
@@ -170,6 +172,7 @@
                 self.calls,
                 self.executions,
                 self.draining,
+                self.store_reach,
                 self.watchers,
                 self.readiness,
                 self.backend,
--- a/src/monsoonmill/decisions/members/entries.py
+++ b/src/monsoonmill/decisions/members/entries.py
@@ -63,4 +63,5 @@
         "service": member.service,
         "accepts_calls": member.accepts_calls,
         "slots": member.slots,
+        "reaches_store": member.reaches_store,
     }
--- a/src/monsoonmill/decisions/members/membership.py
+++ b/src/monsoonmill/decisions/members/membership.py
@@ -150,6 +150,12 @@
         self.update_own(state=MemberState.LEAVING, accepts_calls=False)
         yield from self._disseminate_changes(now)
 
+    def announce_store_reach(self, is_reached: bool, now: float):
+        """Tell the fleet whether the platform's store serves this node."""
+        if self.own.reaches_store != is_reached:
+            self.update_own(reaches_store=is_reached)
+            yield from self._disseminate_changes(now)
+
     def _on_announcement_expired(self, now):
         if self.own.accepts_calls:
             self.update_own(accepts_calls=False)
--- a/src/monsoonmill/model.py
+++ b/src/monsoonmill/model.py
@@ -210,6 +210,9 @@
         Whether the backend server accepts new calls.
     slots : int
         Requests that the backend server announces it can execute at once.
+    reaches_store : bool
+        Whether the platform's store serves the node. Only nodes that may have to watch
+        the store say if it doesn't.
     """
 
     node: str
@@ -222,6 +225,7 @@
     service: str = ""
     accepts_calls: bool = False
     slots: int = 0
+    reaches_store: bool = True
 
 
 @frozen
--- a/src/monsoonmill/node/decision_log.py
+++ b/src/monsoonmill/node/decision_log.py
@@ -108,6 +108,7 @@
             state=member.state.value,
             service=member.service,
             accepts=member.accepts_calls,
+            reaches_store=member.reaches_store,
             version=member.version,
         )
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -154,6 +154,7 @@
         self.executed: list[tuple[str, RunCall]] = []
         self.cut_links: set[frozenset] = set()
         self.platform_unreachable_from: set[str] = set()
+        self.unreachable_delay_s = 0.0
         self.latency_s = LATENCY_S
         self.corrupt: Callable = lambda message: message
         self._run = run or answer_ok
@@ -368,9 +369,14 @@
     def _send_to_platform(self, node, signal, wait_s):
         is_watch = isinstance(signal, PlatformWatch)
         if node.name in self.platform_unreachable_from:
-            result = self.platform.refuse(signal)
-        else:
-            result = self.platform.execute(signal, self.now)
+            delay_s = LATENCY_S + self.unreachable_delay_s
+            if is_watch and self.unreachable_delay_s:
+                # A client waits for the end of a watch before it gives up.
+                delay_s += wait_s
+            refused = self.platform.refuse(signal)
+            self.schedule(delay_s, lambda: self.inject(node, refused))
+            return
+        result = self.platform.execute(signal, self.now)
         if is_watch and isinstance(result, PlatformDone):
             listing = result.values[1:]
             is_listed = self.platform.listed.get(node) == listing
--- a/tests/test_mutants_members.py
+++ b/tests/test_mutants_members.py
@@ -11,12 +11,19 @@
 from monsoonmill.decisions.configuration.pending_note import PendingNote
 from monsoonmill.decisions.configuration.signals import ConfigChanged
 from monsoonmill.decisions.health.passive import PassiveHealth
-from monsoonmill.decisions.members import failure_detection
+from monsoonmill.decisions.members import failure_detection, watchers
 from monsoonmill.decisions.members.membership import Membership
 from monsoonmill.decisions.members.table import MemberTable
+from monsoonmill.decisions.members.watchers import WatcherRanking
 from monsoonmill.decisions.poison.guard import FleetPoisonGuard
 from monsoonmill.notes import apply_note
-from tests import test_health, test_membership, test_poison, test_release_notes
+from tests import (
+    test_health,
+    test_membership,
+    test_poison,
+    test_release_notes,
+    test_watchers,
+)
 from tests.test_membership_fuzz import SETTINGS as MEMBERSHIP_SETTINGS
 from tests.test_membership_fuzz import MembershipMachine
 from tests.test_release_notes_fuzz import SETTINGS as NOTE_SETTINGS
@@ -132,6 +139,14 @@
     )
 
 
+class ChoosesAnyLivingNode(WatcherRanking):
+    """Chooses watchers by being alive, whether the store serves them or not."""
+
+    @property
+    def watchers(self):
+        return list(self.candidates)[: self.count]
+
+
 class NeverClearsSuspects(FleetPoisonGuard):
     """Never clears a suspect request that was answered."""
 
@@ -208,6 +223,16 @@
         TrustsReportedDeath,
         test_membership.test_false_report_of_death_is_refuted,
     ),
+    (
+        watchers,
+        "WatcherRanking",
+        ChoosesAnyLivingNode,
+        lambda: (
+            test_watchers.test_key_is_withdrawn_while_the_store_turns_all_watchers_away(
+                1, 0.0
+            )
+        ),
+    ),
     (
         policies,
         "FleetPoisonGuard",
