Acknowledge a departure once it outlives the node's process

Cause: a node kept what it had acknowledged in the memory of its process alone, and answered before anybody else knew. The next process believed the first heartbeat without asking. Change: the departure is part of the node's member entry, and is acknowledged once two other nodes have replied with the version of the entry that has it, and the store has it under a lease or has failed; else the answer is 503 after 0.8 s. Other nodes keep the departures of a node's earlier processes and tell them in their first reply; a new process holds heartbeats back until a node that was there before, or the store, has replied, at most 2 s. A late draining heartbeat, which is acknowledged, now binds as well. Four mutants are caught. test_deregistration_is_acknowledged demanded 200 at once, which is the fault; its replacement demands that nothing is acknowledged before the answer, for draining heartbeats too.

--- a/src/monsoonmill/decisions/core.py
+++ b/src/monsoonmill/decisions/core.py
@@ -19,6 +19,8 @@
 from monsoonmill.decisions.decision import SignalBus
 from monsoonmill.decisions.explanation import RequestExplainer
 from monsoonmill.decisions.lifecycle.backend_identity import BackendIdentity
+from monsoonmill.decisions.lifecycle.departure_store import DepartureStore
+from monsoonmill.decisions.lifecycle.departures import Departures
 from monsoonmill.decisions.lifecycle.draining import Draining
 from monsoonmill.decisions.lifecycle.readiness import Readiness
 from monsoonmill.decisions.lifecycle.signals import (
@@ -144,11 +146,20 @@
             self.counters,
             cfg.admission.readmits,
         )
+        departures_rng = Random(f"{seed}/{node}/departures")
+        self.departure_store = DepartureStore(self.members, departures_rng)
+        self.departures = Departures(
+            self.members,
+            self.departure_store,
+            cfg.node.seeds,
+            departures_rng,
+            self.counters,
+        )
         self.draining = Draining(
             cfg.drain,
             self.calls,
             self.executions,
-            (self.claims, self.quota),
+            (self.claims, self.quota, self.departures),
             self.counters,
         )
         self.backend = BackendIdentity()
@@ -176,6 +187,8 @@
                 self.watchers,
                 self.readiness,
                 self.backend,
+                self.departure_store,
+                self.departures,
                 self.seeds,
             ),
         )
--- a/src/monsoonmill/decisions/lifecycle/signals.py
+++ b/src/monsoonmill/decisions/lifecycle/signals.py
@@ -3,7 +3,7 @@
 from attrs import frozen
 
 from monsoonmill.decisions.request_query import RequestQuery
-from monsoonmill.model import Address
+from monsoonmill.model import Address, Departure
 
 
 @frozen
@@ -24,6 +24,8 @@
         Time for which it says that it is cold.
     received_ms : int
         Time of day of this host in Unix milliseconds; 0 if it is not known.
+    request : str
+        Name of the request that an ``Answer`` acknowledges; empty if none does.
     """
 
     instance: str
@@ -35,6 +37,52 @@
     leaves: bool = False
     cold_left_ms: float = 0.0
     received_ms: int = 0
+    request: str = ""
+
+
+@frozen
+class DepartureRecorded:
+    """The local backend server has said that it leaves.
+
+    Attributes
+    ----------
+    request : str
+        Name of the request that is to be acknowledged; empty for none.
+    """
+
+    departure: Departure
+    request: str = ""
+
+
+@frozen
+class DeparturesStored:
+    """A write of the local node's departures to the store has ended or failed.
+
+    Attributes
+    ----------
+    departures : tuple of Departure
+        What the store has, as far as it is known.
+    """
+
+    departures: tuple[Departure, ...]
+
+
+@frozen
+class DeparturesWanted:
+    """A heartbeat waits for what earlier processes of this node were told."""
+
+
+@frozen
+class DeparturesKnown:
+    """What earlier processes of this node were told is known, if anybody knows it.
+
+    Attributes
+    ----------
+    source : str
+        Node that has replied, or the store.
+    """
+
+    source: str
 
 
 @frozen
--- a/src/monsoonmill/decisions/members/entries.py
+++ b/src/monsoonmill/decisions/members/entries.py
@@ -2,11 +2,15 @@
 
 from xxhash import xxh3_64_intdigest
 
-from monsoonmill.model import Member, MemberState
+from monsoonmill.model import Departure, Member, MemberState
 
 DIGEST_BUCKETS = 64
 """Buckets of the list whose digests two nodes compare to find differences."""
 
+MAX_DEPARTURES = 4
+"""Departures in a node's entry. A backend server starts after the one before it has
+ended, so that a late message of an older one is unlikely."""
+
 STATE_PRECEDENCE = {
     MemberState.ALIVE: 0,
     MemberState.SUSPECT: 1,
@@ -35,6 +39,22 @@
     return member.state is not MemberState.DEAD
 
 
+def merge_departures(
+    first: tuple[Departure, ...], second: tuple[Departure, ...]
+) -> tuple[Departure, ...]:
+    """Return the latest departures of two lists, of each instance the latest one."""
+    if first == second or not second:
+        return first
+    latest: dict[str, Departure] = {}
+    for departure in sorted((*first, *second), key=_departure_order):
+        latest[departure.instance] = departure
+    return tuple(sorted(latest.values(), key=_departure_order)[-MAX_DEPARTURES:])
+
+
+def _departure_order(departure):
+    return departure.started_by_ms, departure.instance
+
+
 def digest_member(member: Member) -> int:
     """Return the digest of an entry; 0 for a dead node.
 
@@ -64,4 +84,5 @@
         "accepts_calls": member.accepts_calls,
         "slots": member.slots,
         "reaches_store": member.reaches_store,
+        "departures": [departure.instance for departure in member.departures],
     }
--- a/src/monsoonmill/decisions/members/membership.py
+++ b/src/monsoonmill/decisions/members/membership.py
@@ -20,6 +20,7 @@
     describe_member,
     has_same_version,
     is_live,
+    merge_departures,
     supersedes,
 )
 from monsoonmill.decisions.members.failure_detection import FailureDetection
@@ -30,7 +31,11 @@
     TIMER_EVENTS,
     RemoteMember,
 )
-from monsoonmill.decisions.members.signals import SelfLeaving
+from monsoonmill.decisions.members.signals import (
+    DeparturesLearned,
+    EntryConfirmed,
+    SelfLeaving,
+)
 from monsoonmill.decisions.signals import (
     BackendAnnounced,
     BackendUnreachable,
@@ -43,7 +48,7 @@
     MemberGossip,
     MemberListRequest,
 )
-from monsoonmill.model import Member, MemberState
+from monsoonmill.model import Departure, Member, MemberState
 from monsoonmill.settings import Settings
 
 RECONNECT_PROBABILITY = 0.1
@@ -156,6 +161,12 @@
             self.update_own(reaches_store=is_reached)
             yield from self._disseminate_changes(now)
 
+    def add_departure(self, departure: Departure) -> None:
+        """Add a departure to the local node's entry."""
+        departures = merge_departures(self.own.departures, (departure,))
+        if departures != self.own.departures:
+            self.update_own(departures=departures)
+
     def _on_announcement_expired(self, now):
         if self.own.accepts_calls:
             self.update_own(accepts_calls=False)
@@ -235,6 +246,12 @@
         entries = tuple(member for name in names if (member := self.find(name)))
         return self._make_gossip(entries, answer=answer)
 
+    def _reply(self, node, about, excluded):
+        """Return the reply to a node, which confirms the state of its entry here."""
+        entry = self.find(node)
+        version = (entry.incarnation, entry.version) if entry else (0, 0)
+        return evolve(self.gossip(False, about, excluded), receiver_version=version)
+
     def _make_gossip(self, entries, **fields):
         return MemberGossip(
             entries,
@@ -252,16 +269,31 @@
             self._merge(member, is_update, now)
         yield from self._record_contact(signal.node, now)
         yield from self._publish_changes()
-        about = self._find_refutable(signal.node)
+        about = self._find_own_news(signal)
         if message.answer or about:
             received = frozenset(member.node for member in message.members)
-            yield Send(signal.node, self.gossip(False, about, received - set(about)))
+            yield Send(
+                signal.node, self._reply(signal.node, about, received - {*about})
+            )
         yield from self._request_differences(signal, now)
+        incarnation, version = message.receiver_version
+        if incarnation == self.own.incarnation:
+            yield EntryConfirmed(signal.node, version)
 
-    def _find_refutable(self, node):
-        """Return the node if its entry here is a suspicion that it can refute."""
-        remote = self._table.remotes.get(node)
-        return (node,) if remote and remote.member.state in SUSPECT_OR_DEAD else ()
+    def _find_own_news(self, signal):
+        """Return the sender if its entry here has something that is news to it.
+
+        That is a suspicion that it can refute, or departures that an earlier process
+        of it was told of.
+        """
+        remote = self._table.remotes.get(signal.node)
+        if remote is None:
+            return ()
+        sent = {member.node: member for member in signal.message.members}
+        own = sent.get(signal.node, remote.member)
+        is_suspect = remote.member.state in SUSPECT_OR_DEAD
+        is_news = is_suspect or own.departures != remote.member.departures
+        return (signal.node,) if is_news else ()
 
     def _request_differences(self, signal, now):
         if signal.message.members_digest == self.digest:
@@ -297,10 +329,20 @@
         remote = self._table.remotes.get(member.node)
         if member.node == self.own.node:
             self._refute(member)
-        elif remote is None:
+            self._learn_departures(member)
+            return
+        if remote is None:
             self._add(member, is_update, now)
-        elif supersedes(member, remote.member):
+            return
+        departures = merge_departures(member.departures, remote.member.departures)
+        if departures != member.departures:
+            member = evolve(member, departures=departures)
+        if supersedes(member, remote.member):
             self._replace_entry(remote, member, now)
+        elif departures != remote.member.departures:
+            # An older entry has departures of which the present process may not know.
+            self._table.replace(remote, evolve(remote.member, departures=departures))
+            self._updates.add(member.node)
         elif is_update and has_same_version(member, remote.member):
             # The fleet knows the update the better, the more often it comes back.
             self._updates.record_sent(member.node, len(self._table.remotes) + 1)
@@ -342,6 +384,15 @@
         self._table.set_own(evolve(self.own, incarnation=incarnation, version=version))
         self.update_own()
 
+    def _learn_departures(self, member):
+        """Take over departures that other nodes have kept for this one."""
+        known = self.own.departures
+        departures = merge_departures(known, member.departures)
+        if departures != known:
+            self.update_own(departures=departures)
+            learned = tuple(entry for entry in departures if entry not in known)
+            self._outgoing.append(DeparturesLearned(learned))
+
     def _add(self, member, is_update, now):
         if not is_live(member):
             return
--- a/src/monsoonmill/decisions/signals.py
+++ b/src/monsoonmill/decisions/signals.py
@@ -98,10 +98,13 @@
     ----------
     received_ms : int
         Time of day of this host in Unix milliseconds.
+    request : str
+        Name of the request that an ``Answer`` acknowledges; empty if none does.
     """
 
     instance: str
     received_ms: int
+    request: str = ""
 
 
 @frozen
--- a/src/monsoonmill/messages.py
+++ b/src/monsoonmill/messages.py
@@ -254,6 +254,8 @@
         may be old.
     evacuations : int
         Version of the sender's evacuation orders; 0 if it knows none.
+    receiver_version : tuple of int
+        In a reply, incarnation and version of the receiver's entry at the sender.
     """
 
     members: tuple[Member, ...]
@@ -262,6 +264,7 @@
     answer: bool = False
     is_list: bool = False
     evacuations: int = 0
+    receiver_version: tuple[int, int] = (0, 0)
 
 
 @frozen
--- a/src/monsoonmill/model.py
+++ b/src/monsoonmill/model.py
@@ -193,6 +193,22 @@
     DEAD = "dead"
 
 
+@frozen
+class Departure:
+    """Processes of a backend server that leave and get no more calls.
+
+    Attributes
+    ----------
+    instance : str
+        Identity of the backend server.
+    started_by_ms : int
+        Time in Unix milliseconds by which these processes had started.
+    """
+
+    instance: str
+    started_by_ms: int
+
+
 @frozen
 class Member:
     """One node's entry in the membership list.
@@ -213,6 +229,9 @@
     reaches_store : bool
         Whether the platform's store serves the node. Only nodes that may have to watch
         the store say if it doesn't.
+    departures : tuple of Departure
+        The latest departures that the node has been told of. Other nodes keep those of
+        its earlier processes, too, and tell them to the present one.
     """
 
     node: str
@@ -226,6 +245,7 @@
     accepts_calls: bool = False
     slots: int = 0
     reaches_store: bool = True
+    departures: tuple[Departure, ...] = ()
 
 
 @frozen
--- a/src/monsoonmill/platform/heartbeats.py
+++ b/src/monsoonmill/platform/heartbeats.py
@@ -16,6 +16,7 @@
 from monsoonmill.model import Address, HttpRequest, HttpResponse
 from monsoonmill.outside_data import Name, NonNegativeInt, decode_json
 from monsoonmill.platform.durations import parse_ms
+from monsoonmill.reasons import Outcome
 from monsoonmill.settings_fields import parse_address
 
 INSTANCES_PATH = "/monsoonmill/instances/"
@@ -24,6 +25,9 @@
 DRAINING = "draining"
 MAX_SLOTS = 1_000_000
 
+OK = HttpResponse(200, (("Content-Type", "application/json"),), b"{}")
+NOT_KEPT = HttpResponse(503, (), b"no other host has confirmed it\n")
+
 log = get_logger("heartbeats")
 
 
@@ -85,31 +89,35 @@
         self._clock = clock
 
     def request_signals(self, req: HttpRequest, now: float) -> Iterable[object]:
-        """Yield the signal that a valid request causes."""
+        """Yield the signal of a heartbeat that is acknowledged at once."""
         instance, action = _parse_path(req)
         try:
             if action == HEARTBEAT:
-                yield self._heartbeat(instance, req.body)
-            elif action == DEREGISTER:
-                yield BackendDeregistered(instance, self._clock.unix_ms())
+                heartbeat = self._heartbeat(instance, req.body)
+                if not heartbeat.leaves:
+                    yield heartbeat
         except MalformedMessageError as exc:
             log.warning("heartbeat_refused", instance=instance, error=str(exc))
 
-    def handle(self, name: str, req: HttpRequest) -> HttpResponse:
-        """Acknowledge a valid request."""
+    def handle(self, name: str, req: HttpRequest) -> HttpResponse | object:
+        """Acknowledge a valid request, or return the signal of one that leaves.
+
+        That a backend server leaves is acknowledged once it outlives this process.
+        """
         instance, action = _parse_path(req)
         try:
             if action == HEARTBEAT:
-                self._heartbeat(instance, req.body)
-            elif action != DEREGISTER:
-                return HttpResponse(404, (), b"no such call\n")
+                heartbeat = self._heartbeat(instance, req.body)
+                return evolve(heartbeat, request=name) if heartbeat.leaves else OK
         except MalformedMessageError as exc:
             return HttpResponse(400, (), f"{exc}\n".encode())
-        return HttpResponse(200, (("Content-Type", "application/json"),), b"{}")
+        if action == DEREGISTER:
+            return BackendDeregistered(instance, self._clock.unix_ms(), name)
+        return HttpResponse(404, (), b"no such call\n")
 
     def render(self, answer: Answer) -> HttpResponse:
-        """Return an error, since no request here is answered later."""
-        return HttpResponse(500)
+        """Return the acknowledgement of a departure, or that there is none yet."""
+        return OK if answer.outcome is Outcome.DONE else NOT_KEPT
 
     def _heartbeat(self, instance, body):
         heartbeat = parse_heartbeat(instance, body)
--- a/tests/test_mutants_members.py
+++ b/tests/test_mutants_members.py
@@ -11,6 +11,10 @@
 from monsoonmill.decisions.configuration.pending_note import PendingNote
 from monsoonmill.decisions.configuration.signals import ConfigChanged
 from monsoonmill.decisions.health.passive import PassiveHealth
+from monsoonmill.decisions.lifecycle.backend_identity import BackendIdentity
+from monsoonmill.decisions.lifecycle.departure_store import DepartureStore
+from monsoonmill.decisions.lifecycle.departures import Departures
+from monsoonmill.decisions.lifecycle.signals import DeparturesStored
 from monsoonmill.decisions.members import failure_detection, watchers
 from monsoonmill.decisions.members.membership import Membership
 from monsoonmill.decisions.members.table import MemberTable
@@ -18,6 +22,7 @@
 from monsoonmill.decisions.poison.guard import FleetPoisonGuard
 from monsoonmill.notes import apply_note
 from tests import (
+    test_departures,
     test_health,
     test_membership,
     test_poison,
@@ -147,6 +152,37 @@
         return list(self.candidates)[: self.count]
 
 
+class AcknowledgesAtOnce(Departures):
+    """Acknowledges departures that no other node has confirmed."""
+
+    def _is_kept(self, pending):
+        return True
+
+
+class NeverLearnsDepartures(Membership):
+    """Ignores what other nodes kept for the local node's earlier processes."""
+
+    def _learn_departures(self, member):
+        return
+
+
+class BelievesAtOnce(BackendIdentity):
+    """Believes heartbeats before anybody has told departures."""
+
+    def start(self, now):
+        super().start(now)
+        self._chart.send("others_answered", now)
+        return ()
+
+
+class NeverStores(DepartureStore):
+    """Leaves departures to the memory of nodes."""
+
+    def on_departure_recorded(self, signal, now):
+        self._outgoing.clear()
+        yield DeparturesStored((signal.departure,))
+
+
 class NeverClearsSuspects(FleetPoisonGuard):
     """Never clears a suspect request that was answered."""
 
@@ -233,6 +269,40 @@
             )
         ),
     ),
+    (
+        core,
+        "Departures",
+        AcknowledgesAtOnce,
+        lambda: (
+            test_departures.test_departure_that_no_other_node_confirms_is_not_acknowledged(
+                "deregistered"
+            )
+        ),
+    ),
+    (
+        core,
+        "Membership",
+        NeverLearnsDepartures,
+        lambda: (
+            test_departures.test_acknowledged_departure_outlives_the_node_while_the_store_is_no_help(
+                "returns"
+            )
+        ),
+    ),
+    (
+        core,
+        "BackendIdentity",
+        BelievesAtOnce,
+        test_departures.test_heartbeat_is_believed_once_another_node_has_replied,
+    ),
+    (
+        core,
+        "DepartureStore",
+        NeverStores,
+        lambda: (
+            test_departures.test_acknowledged_departure_outlives_a_kill_of_all_nodes(12)
+        ),
+    ),
     (
         policies,
         "FleetPoisonGuard",
