Log by which configuration a call was routed, and what the store was asked

The logs could not tell why nodes kept an older configuration: whether their watch was refused after it had been cut, went on past a change, or brought a value that was not adopted. "store_lost" came once for an outage, whatever refused the calls later, and the revision in a call's line was that of its end.

A call's line now has the revision that routed it, "config_adopted" the version in the store, "config_not_adopted" a value that is older than the one in force, "watch_started" the revision from which a watch goes on, and "store_lost" comes again with each change of its cause. The status has the source of the configuration and when the store last answered about it. The stand-in of the store can hold back watches, and leave its era out of answers with chosen statuses.

--- a/src/monsoonmill/decisions/calls/call.py
+++ b/src/monsoonmill/decisions/calls/call.py
@@ -154,6 +154,8 @@
     token_organisation : str
         Organisation that gets its token back if the call never runs; empty if
         the call holds no token.
+    revision : int
+        Configuration revision by which it was routed.
     """
 
     arrival: CallArrived
@@ -181,6 +183,7 @@
     was_suspect: bool = False
     may_have_run: bool = False
     token_organisation: str = ""
+    revision: int = 0
     failure: AttemptFailure | None = None
     has_claim: bool = False
     chart: ChartInstance | None = None
--- a/src/monsoonmill/decisions/calls/call_checks.py
+++ b/src/monsoonmill/decisions/calls/call_checks.py
@@ -101,6 +101,7 @@
             has_crossed=parent is not None and parent.has_crossed,
             parent_route="" if parent is None else parent.route,
             retries_left=self._retry_budget(arrival, route),
+            revision=self._authorization.revision,
         )
 
     def _resolve_root_call(self, arrival, now):
--- a/src/monsoonmill/decisions/calls/call_flow.py
+++ b/src/monsoonmill/decisions/calls/call_flow.py
@@ -477,7 +477,7 @@
             answer.outcome,
             answer.reason,
             0 if resp is None else resp.status,
-            self._authorization.revision,
+            call.revision,
             (now - call.arrived_at) * 1000,
             tuple(call.attempt_results),
             answer.detail,
--- a/src/monsoonmill/decisions/calls/signals.py
+++ b/src/monsoonmill/decisions/calls/signals.py
@@ -80,7 +80,7 @@
     request_id : str
         Id that the caller gave the request.
     revision : int
-        Configuration revision in force when the call ended.
+        Configuration revision by which the call was routed.
     waited_ms : float
         Time from arrival to answer.
     attempts : tuple of str
--- a/src/monsoonmill/decisions/configuration/configuration.py
+++ b/src/monsoonmill/decisions/configuration/configuration.py
@@ -45,6 +45,7 @@
     PlatformConflictError,
     TooManyNotesError,
 )
+from monsoonmill.eventlog import get_logger
 from monsoonmill.messages import ConfigDelta, ConfigReply, ConfigRequest, MemberGossip
 from monsoonmill.model import Config
 from monsoonmill.settings import Settings
@@ -54,6 +55,8 @@
 """Minimum time between two requests while the first one is unanswered."""
 ACCEPT_TIMEOUT_S = 20.0
 """Time within which the operator gets an answer to a release note."""
+STORE = "platform"
+"""Source of a configuration that was read from the store."""
 WATCH = "config-watch"
 CONFIG_READ = "config-read"
 MAX_READ_BACKOFF = 3
@@ -61,6 +64,8 @@
 REPAIR_WRITE = "config-repair"
 """Overwrites an older stored configuration with the one in force."""
 
+log = get_logger("config")
+
 
 class ConfigView:
     """Shares what is in force; only the registers replace it.
@@ -104,6 +109,8 @@
         self._config_requested_at = float("-inf")
         self._malformed_version = 0
         self._failed_reads = 0
+        self._source = ""
+        self._confirmed_at: float | None = None
 
     def handlers(self):
         """Return the handlers of this decision."""
@@ -164,6 +171,7 @@
     def _on_value_read(self, signal, now):
         self.has_read_platform = True
         self._failed_reads = 0
+        self._confirmed_at = signal.sent_at
         has_newer = False
         # The others are evacuation orders.
         values = [stored for stored in signal.values if stored.key == CONFIG_KEY]
@@ -187,8 +195,16 @@
             # Keeps the configuration in force; the status shows the bad version.
             self._malformed_version = stored.version
             return
-        yield from self.adopt(config)
+        yield from self.adopt(config, stored_version=stored.version)
         is_older = config.revision < self.view.config.revision
+        if is_older:
+            log.info(
+                "config_not_adopted",
+                revision=config.revision,
+                stored_version=stored.version,
+                in_force=self.view.config.revision,
+                source=self._source,
+            )
         if self._is_watching and is_older and not self.codec.is_read_only:
             value = self.codec.encode(self.view.config)
             yield PlatformSwap(REPAIR_WRITE, CONFIG_KEY, stored.version, value)
@@ -259,13 +275,14 @@
         """Adopt a configuration after the current signal has been handled."""
         self._queued_adoptions.append(config)
 
-    def adopt(self, config: Config, source: str = "platform"):
+    def adopt(self, config: Config, source: str = STORE, stored_version: int = 0):
         """Replace the configuration in force by a newer one; ignore an older one."""
         old = self.view.config
         if config.revision <= old.revision:
             return
         self.view.config = config
-        yield ConfigAdopted(config.revision, source)
+        self._source = source
+        yield ConfigAdopted(config.revision, source, stored_version)
         yield ConfigChanged(old, config)
 
     def decode(self, stored: StoredValue) -> Config:
@@ -314,9 +331,11 @@
         yield from self.adopt(signal.message.config, signal.node)
 
     def status(self):
-        """Return the revision in force and the number of pending notes."""
+        """Return the revision in force, its source and the number of pending notes."""
         return {
             "revision": self.view.config.revision,
+            "source": self._source,
+            "confirmed_at": self._confirmed_at,
             "pending": len(self._pending),
             "malformed_version": self._malformed_version,
         }
--- a/src/monsoonmill/decisions/configuration/signals.py
+++ b/src/monsoonmill/decisions/configuration/signals.py
@@ -8,10 +8,19 @@
 
 @frozen
 class ConfigAdopted:
-    """A configuration was adopted; for the log."""
+    """A configuration was adopted; for the log.
+
+    Attributes
+    ----------
+    source : str
+        Node that sent it, or ``"platform"`` for the store.
+    stored_version : int
+        Version of its key in the store; 0 if another node sent it.
+    """
 
     revision: int
     source: str
+    stored_version: int = 0
 
 
 @frozen
--- a/src/monsoonmill/node/decision_log.py
+++ b/src/monsoonmill/node/decision_log.py
@@ -90,7 +90,12 @@
         )
 
     def _log_config(self, adopted):
-        log.info("config_adopted", revision=adopted.revision, source=adopted.source)
+        log.info(
+            "config_adopted",
+            revision=adopted.revision,
+            source=adopted.source,
+            stored_version=adopted.stored_version,
+        )
 
     def _log_evacuations(self, adopted):
         log.info(
--- a/src/monsoonmill/platform/store_client.py
+++ b/src/monsoonmill/platform/store_client.py
@@ -24,7 +24,11 @@
 from monsoonmill.outside_data import Name, NonNegativeInt, decode_json
 from monsoonmill.settings import PlatformSettings
 from monsoonmill.store.client import PlatformClient
-from monsoonmill.store.errors import BadCallError, LeaseNotLiveError
+from monsoonmill.store.errors import (
+    BadCallError,
+    EarlierEraError,
+    LeaseNotLiveError,
+)
 from monsoonmill.store.versions import (
     MAX_ERA,
     MAX_REVISION,
@@ -271,8 +275,12 @@
             # Without it a watch would return, and be repeated, at once.
             raise PlatformUnavailableError(f"{key}: the store told no revision")
         self._watched_revisions[key] = watched_revision
+        self._log_watch(key, watched_revision)
         return stored if stored.version > after else None
 
+    def _log_watch(self, key, revision):
+        log.info("watch_started", key=key, after=revision, era=self._era)
+
     def _newest_event(self, key, events):
         full_key = self._full_key(key)
         changes = [item for item in _parse_items(events) if item.key == full_key]
@@ -327,7 +335,9 @@
 
     def _start_watch_with(self, key, prefix, after):
         stored, listing = self._list_operators_keys(key, prefix)
-        _, self._watched_revisions[prefix] = split_version(listing.version)
+        _, watched_revision = split_version(listing.version)
+        self._watched_revisions[prefix] = watched_revision
+        self._log_watch(prefix, watched_revision)
         return (stored, listing) if stored.version > after else (listing,)
 
     def _list_operators_keys(self, key, prefix):
@@ -506,9 +516,7 @@
     def _check_era(self, call, era):
         """Note a later era, and refuse the response of an earlier one."""
         if self._era is not None and era < self._era:
-            raise PlatformUnavailableError(
-                f"{call.path}: response of era {era} after one of era {self._era}"
-            )
+            raise EarlierEraError(call.path, era, self._era)
         self.begin_era(era)
 
     def _request(self, call):
--- a/src/monsoonmill/standin/kv_store.py
+++ b/src/monsoonmill/standin/kv_store.py
@@ -71,10 +71,16 @@
         (no answer).
     lost_answers : int
         Number of further writes that are executed but not answered.
+    holds_watches : bool
+        Whether watches hear nothing and are not ended.
+    statuses_without_era : frozenset of int
+        Statuses of the answers that don't tell the store's era.
     """
 
     mode: str = "ok"
     lost_answers: int = 0
+    holds_watches: bool = False
+    statuses_without_era: frozenset[int] = frozenset()
 
 
 @frozen
@@ -271,7 +277,7 @@
             return _answer({}, 410)
         watch = PendingWatch(name, params["path_prefix"], after)
         events = self._events(watch)
-        if events:
+        if events and not self.faults.holds_watches:
             return _answer({"events": events, "at_rev": self.store.revision})
         self._watches[name] = watch
         self._timers.set(name, self._clock.now() + int(params["wait_ms"]) / 1000)
@@ -317,6 +323,8 @@
 
     def due_answers(self):
         """Yield the answers of watches that have events or have timed out."""
+        if self.faults.holds_watches:
+            return
         now = self._clock.now()
         timed_out = set(self._timers.pop_due(now))
         for name, watch in list(self._watches.items()):
@@ -333,7 +341,8 @@
         return Answer(name, Outcome.DONE, self._add_era(resp))
 
     def _add_era(self, resp):
-        if self.store.era is None:
+        is_left_out = resp.status in self.faults.statuses_without_era
+        if self.store.era is None or is_left_out:
             return resp
         era = (ERA_HEADER, str(self.store.era))
         return evolve(resp, headers=(*resp.headers, era))
--- a/src/monsoonmill/store/client.py
+++ b/src/monsoonmill/store/client.py
@@ -139,7 +139,7 @@
         self._client = client
         self._clock = clock
         self._reply = reply
-        self._is_unavailable = False
+        self._lost_by: type[PlatformError] | None = None
         self._era: int | None = None
         self._handlers = {
             PlatformRead: self._read,
@@ -185,18 +185,19 @@
             self._reply(StoreReturned(self._era))
 
     def _log_failure(self, message, exc):
-        """Log the start of an outage, or a refused call, such as a conflict."""
-        if isinstance(exc, PlatformUnavailableError) and not self._is_unavailable:
-            self._is_unavailable = True
+        """Log an outage and each change of its cause, or a refused call."""
+        is_outage = isinstance(exc, PlatformUnavailableError)
+        if is_outage and type(exc) is not self._lost_by:
+            self._lost_by = type(exc)
             log.warning(
                 "store_lost", task=self.name, call=type(message).__name__, error=exc
             )
-        elif not self._is_unavailable:
+        elif self._lost_by is None:
             log.info("call_refused", call=type(message).__name__, error=exc)
 
     def _log_success(self):
-        if self._is_unavailable:
-            self._is_unavailable = False
+        if self._lost_by is not None:
+            self._lost_by = None
             log.info("store_regained", task=self.name)
 
     def close(self) -> None:
--- a/src/monsoonmill/store/errors.py
+++ b/src/monsoonmill/store/errors.py
@@ -1,6 +1,6 @@
 """Errors of the key-value service that only its clients and servers handle."""
 
-from monsoonmill.errors import PlatformError
+from monsoonmill.errors import PlatformError, PlatformUnavailableError
 
 
 class LeaseNotLiveError(PlatformError):
@@ -22,3 +22,11 @@
 
 class BadCallError(PlatformError):
     """A call to the key-value service is malformed or not permitted."""
+
+
+class EarlierEraError(PlatformUnavailableError):
+    """An answer tells an earlier era of the store than one before it."""
+
+    def __init__(self, call, era, known_era):
+        super().__init__(f"{call}: response of era {era} after one of era {known_era}")
+        self.era = era
