Go on from a read after a watch of the store has been refused

After its connection was cut, a watcher asked again for what followed the revision that it had. Whatever refused that, it asked for the same for ever: only a 410 made it read. An answer without a readable Store-Era counts as one of era 0, and is refused once the client knows a later era. So a store that leaves the header out of 410 stops all watchers for good when it drops its history after a return, and not before one.

A watch now keeps its revision only if it succeeds, so that the next one starts with a read.

The ten cases of test_watch_that_was_refused_goes_on_from_a_read failed before.

--- a/src/monsoonmill/platform/store_client.py
+++ b/src/monsoonmill/platform/store_client.py
@@ -239,23 +239,36 @@
 
     def watch(self, key: str, after: int) -> StoredValue | None:
         """Wait for a change to a key; return its new state, or None on a time-out."""
-        watched_revision = self._watched_revisions.get(key, 0)
-        if not watched_revision:
-            return self._start_watch(key, after)
-        resp = self._send(_watch_call(self._full_key(key), watched_revision))
-        if resp.status == GONE_STATUS:
-            self._check_gone(key)
-        else:
-            self._gone_keys.discard(key)
-        if resp.status == GONE_STATUS or key not in self._watched_revisions:
-            # The store has dropped the history since then, or has returned from an
-            # older copy with another history; read the current state.
+        watched_revision = self._watched_revisions.pop(key, 0)
+        answer = self._send_watch(key, self._full_key(key), watched_revision)
+        if answer is None:
             return self._start_watch(key, after)
-        answer = _parse(resp, WatchAnswer)
-        if answer.at_rev is not None:
-            self._watched_revisions[key] = answer.at_rev
+        at_revision = answer.at_rev
+        self._watched_revisions[key] = (
+            watched_revision if at_revision is None else at_revision
+        )
         return self._newest_event(key, answer.events)
 
+    def _send_watch(self, name, path_prefix, revision) -> WatchAnswer | None:
+        """Return what has changed since a revision; None if that has to be read.
+
+        The caller has dropped the revision and keeps it only if this succeeds, since a
+        watch that is refused would be refused again.
+        """
+        if not revision:
+            return None
+        era = self._era
+        resp = self._send(_watch_call(path_prefix, revision))
+        if resp.status == GONE_STATUS:
+            # The store has dropped the history since then.
+            self._check_gone(name)
+            return None
+        self._gone_keys.discard(name)
+        if self._era != era:
+            # The store has returned from an older copy with another history.
+            return None
+        return _parse(resp, WatchAnswer)
+
     def _check_gone(self, key):
         """Fail at every second 410 in a row, so that the next watch is delayed.
 
@@ -307,17 +320,10 @@
         self, key: str, prefix: str, after: int
     ) -> tuple[StoredValue | StoredListing, ...]:
         """Wait for changes to a key and to the orders with a prefix."""
-        watched_revision = self._watched_revisions.get(prefix, 0)
-        if not watched_revision:
-            return self._start_watch_with(key, prefix, after)
-        resp = self._send(_watch_call(OPERATORS_STORE_PREFIX, watched_revision))
-        if resp.status == GONE_STATUS:
-            self._check_gone(prefix)
-        else:
-            self._gone_keys.discard(prefix)
-        if resp.status == GONE_STATUS or prefix not in self._watched_revisions:
+        watched_revision = self._watched_revisions.pop(prefix, 0)
+        answer = self._send_watch(prefix, OPERATORS_STORE_PREFIX, watched_revision)
+        if answer is None:
             return self._start_watch_with(key, prefix, after)
-        answer = _parse(resp, WatchAnswer)
         changed = self._newest_event(key, answer.events)
         items = list(_parse_items(answer.events, OrderItem))
         revisions = [watched_revision, *(item.revision for item in items)]
--- a/tests/deployment/store_disruptions.py
+++ b/tests/deployment/store_disruptions.py
@@ -103,3 +103,71 @@
         stage.record("start-without-store", start, numbers, False)
         for number in numbers:
             stage.release(number)
+
+
+class StoreReturns(Disruption):
+    """The store comes back from an older copy; operators write again what is lost."""
+
+    def __init__(self, copy_age_s: float, rewrite_s: float):
+        self.copy_age_s = copy_age_s
+        self.rewrite_s = rewrite_s
+
+    def run(self, stage: Stage) -> None:
+        """Lose the versions since the copy, with all connections."""
+        fleet = stage.fleet
+        start = monotonic()
+        with fleet.lock:
+            copy = fleet.store.copy()
+        stage.ending.wait(self.copy_age_s / 2)
+        fleet.change_config()
+        stage.ending.wait(self.copy_age_s / 2)
+        with fleet.lock:
+            fleet.store.return_from(copy)
+        reset_store_links(fleet)
+        stage.ending.wait(self.rewrite_s)
+        fleet.write_again()
+        stage.record("store-returns", start, (), False)
+
+
+class StoreForgetsUnheard(Disruption):
+    """Watches hear nothing of changes until the history is dropped; they are cut."""
+
+    def __init__(self, changes: int, silent_s: float):
+        self.changes = changes
+        self.silent_s = silent_s
+
+    def run(self, stage: Stage) -> None:
+        """Change the configuration unheard, and cut all watches."""
+        fleet = stage.fleet
+        start = monotonic()
+        for faults in fleet.store_faults:
+            faults.holds_watches = True
+        for _ in range(self.changes):
+            stage.ending.wait(self.silent_s / (self.changes + 1))
+            fleet.change_config()
+        stage.ending.wait(self.silent_s / (self.changes + 1))
+        with fleet.lock:
+            fleet.store.compact()
+        reset_store_links(fleet)
+        for faults in fleet.store_faults:
+            faults.holds_watches = False
+        stage.record("store-forgets-unheard", start, (), False)
+
+
+class StoreResets(Disruption):
+    """All connections to the store are reset."""
+
+    def run(self, stage: Stage) -> None:
+        """Reset the connections once."""
+        start = monotonic()
+        reset_store_links(stage.fleet)
+        stage.record("store-resets", start, (), False)
+
+
+def reset_store_links(fleet: LinkedFleet) -> None:
+    """Reset the connections of all machines to the store."""
+    numbers = range(len(fleet.hosts))
+    for number in numbers:
+        fleet.set_fault(f"store-{number}", LINK_MODES["reset"])
+    for number in numbers:
+        fleet.set_fault(f"store-{number}", PASS)
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -11,6 +11,7 @@
 from monsoonmill.clock import ManualClock
 from monsoonmill.counters import Counters
 from monsoonmill.decisions.configuration.configuration import ConfigRegister, ConfigView
+from monsoonmill.decisions.configuration.evacuations import EVACUATION_PREFIX
 from monsoonmill.decisions.configuration.pending_note import CONFIG_KEY
 from monsoonmill.decisions.members.seed_directory import (
     MAX_RETURN_DELAY_S,
@@ -24,8 +25,12 @@
     StoredValue,
     StoreReturned,
 )
-from monsoonmill.errors import PlatformConflictError, PlatformUnavailableError
-from monsoonmill.model import Address, HttpRequest
+from monsoonmill.errors import (
+    PlatformConflictError,
+    PlatformError,
+    PlatformUnavailableError,
+)
+from monsoonmill.model import Address, HttpRequest, HttpResponse
 from monsoonmill.platform.config_codec import StoredConfigCodec
 from monsoonmill.platform.store_client import KvClient
 from monsoonmill.settings import Settings
@@ -50,6 +55,8 @@
         Called while a watch waits.
     era_header : str or None
         Replaces the store's era in the responses.
+    watch_answer : HttpResponse or None
+        Answer to all watches.
     """
 
     def __init__(self, app):
@@ -57,8 +64,11 @@
         self.app = app
         self.on_wait = lambda: None
         self.era_header = None
+        self.watch_answer = None
 
     def _request(self, call):
+        if self.watch_answer is not None and call.path == "kv-watch":
+            return DirectResponse(self.watch_answer, None)
         path = f"/monsoonmill/{call.path}?{urlencode(call.fields)}"
         body = self._encode(call.doc)
         answer = self.app.handle("call", HttpRequest(call.method, path, (), body))
@@ -142,6 +152,35 @@
         client.watch(CONFIG_KEY, 12)
 
 
+REFUSALS = {
+    "no history, without an era": HttpResponse(410, (), b'{"at_rev": 13}'),
+    "no events, without an era": HttpResponse(200, (), b'{"events": [], "at_rev": 13}'),
+    "bad call": HttpResponse(400, (("Store-Era", "1"),), b"{}"),
+    "not served": HttpResponse(503, (), b""),
+    "unreadable": HttpResponse(200, (("Store-Era", "1"),), b"["),
+}
+
+
+# It was repeated from the same revision for ever, and refused each time.
+@pytest.mark.parametrize("refusal", REFUSALS.values(), ids=REFUSALS)
+@pytest.mark.parametrize("also", ["", EVACUATION_PREFIX], ids=["alone", "with orders"])
+def test_watch_that_was_refused_goes_on_from_a_read(store, client, refusal, also):
+    def watch():
+        if also:
+            return client.watch_with(CONFIG_KEY, also, old.version)
+        return (client.watch(CONFIG_KEY, old.version),)
+
+    store.era = 1
+    old = client.read(CONFIG_KEY)
+    watch()
+    store.put("op/config", b"v4")
+    store.compact()
+    client.watch_answer = refusal
+    with pytest.raises(PlatformError):
+        watch()
+    assert b"v4" in [stored.value for stored in watch() if stored.key == CONFIG_KEY]
+
+
 # The write replaced a value that another node had stored under the same revision.
 def test_write_based_on_an_earlier_era_is_a_conflict(store, client):
     copy = store.copy()
