--- a/tests/integration/test_untrusted_clients.py
+++ b/tests/integration/test_untrusted_clients.py
@@ -115,6 +115,18 @@
     return codec.encode(hello) + ping * (2 * MB // len(ping))
 
 
+def peer_hellos(number):
+    """Return the bytes of a peer that announces itself under many names."""
+    codec = MsgpackCodec(PEER_MESSAGES)
+    address = Address("10.9.9.9", 7000)
+    names = (f"10.9.{number}.{i}:7000" + "x" * 200 for i in range(4000))
+    return b"".join(codec.encode(Hello(name, 1, address)) for name in names)
+
+
+def control_lines():
+    return [HEARTBEAT + lines.removeprefix(CALL) for lines in odd_lines()]
+
+
 def body_of(size, head=UPLOAD):
     return head + b"Content-Length: %d\r\n\r\n" % size + bytes(size)
 
@@ -154,6 +166,42 @@
         "metrics",
         lambda: [b"GET /metrics HTTP/1.1\r\n\r\n" * 4000] * 30,
     ),
+    "ready_heads_over_limit": (
+        "ready",
+        lambda: [READY + b"X: " + b"a" * 200_000 + b"\r\n\r\n"] * 300,
+    ),
+    "ready_heads_without_end": (
+        "ready",
+        lambda: [READY + b"X: " + b"a" * 60_000] * 300,
+    ),
+    "ready_empty_lines": ("ready", lambda: [b"\r\n" * 8_000_000] * 40),
+    "ready_pipelined": ("ready", lambda: [(READY + b"\r\n") * 20_000] * 60),
+    "ready_bodies": ("ready", lambda: [body_of(48 * MB, READY)] * 8),
+    "control_odd_lines": ("control", lambda: control_lines() * 25),
+    "control_heads_over_limit": (
+        "control",
+        lambda: [HEARTBEAT + b"X: " + b"a" * 200_000 + b"\r\n\r\n"] * 300,
+    ),
+    "control_heads_without_end": (
+        "control",
+        lambda: [HEARTBEAT + b"X: " + b"a" * 60_000] * 300,
+    ),
+    "control_empty_lines": ("control", lambda: [b"\r\n" * 8_000_000] * 40),
+    "control_pipelined": (
+        "control",
+        lambda: [(HEARTBEAT + b"Content-Length: 2\r\n\r\n{}") * 8000] * 60,
+    ),
+    "control_silent": ("control", lambda: [b""] * 500),
+    "metrics_lines": (
+        "metrics",
+        lambda: [b"GET /metrics HTTP/1.1\r\n" + b"a:\r\n" * 12_000] * 300,
+    ),
+    "metrics_empty_lines": ("metrics", lambda: [b"\r\n" * 8_000_000] * 40),
+    "metrics_silent": ("metrics", lambda: [b""] * 500),
+    "peer_bytes": ("peer", lambda: [b"\xff" * 4_000_000] * 60),
+    "peer_long_frames": ("peer", lambda: [b"\xc6\x7f\xff\xff\xff" * MB] * 30),
+    "peer_nested": ("peer", lambda: [b"\x91" * 4_000_000] * 30),
+    "peer_hellos": ("peer", lambda: [peer_hellos(number) for number in range(30)]),
     "peer_parts": ("peer", lambda: [peer_parts(number) for number in range(16)]),
     "peer_pings": ("peer", lambda: [peer_pings(number) for number in range(12)]),
     "peer_silent": ("peer", lambda: [b""] * 500),
@@ -255,22 +303,82 @@
         assert host.send_heartbeat() == 200
 
 
+OWN_CALL = (
+    b"GET /donkeys/lookup/1 HTTP/1.1\r\nHost: h\r\n"
+    b"Authorization: Bearer " + SECRETS["branch"].encode() + b"\r\n"
+)
+OWN_UPLOAD = b"POST /donkeys/1 HTTP/1.1\r\nHost: h\r\n"
+
+
+def own_all_together():
+    lines = [OWN_CALL + b"a:\r\n" * 7000] * 60
+    endless = [OWN_CALL + b"X: " + b"a" * 30_000] * 60
+    empty = [b"\r\n" * 8_000_000] * 10
+    pipelined = [(OWN_CALL + b"\r\n") * 4000] * 20
+    medium = [body_of(MB, OWN_UPLOAD)] * 30
+    return lines + endless + empty + pipelined + medium + [b""] * 150
+
+
 OWN_CASES = {
     "lines": lambda: [b"GET /donkeys/1 HTTP/1.1\r\n" + b"a:\r\n" * 7000] * 200,
-    "bodies": lambda: (
-        [body_of(15 * MB, b"POST /donkeys/1 HTTP/1.1\r\nHost: h\r\n")[:-1]] * 40
+    "bodies": lambda: [body_of(15 * MB, OWN_UPLOAD)[:-1]] * 40,
+    "heads_over_limit": lambda: (
+        [OWN_CALL + b"X: " + b"a" * 200_000 + b"\r\n\r\n"] * 300
     ),
+    "heads_without_end": lambda: [OWN_CALL + b"X: " + b"a" * 30_000] * 300,
+    "empty_lines": lambda: [b"\r\n" * 8_000_000] * 40,
+    "pipelined": lambda: [(OWN_CALL + b"\r\n") * 4000] * 60,
+    "silent": lambda: [b""] * 500,
+    "chunks_without_end": lambda: (
+        [OWN_UPLOAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 2_000_000]
+        * 30
+    ),
+    "long_chunk_sizes": lambda: (
+        [OWN_UPLOAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"0" * 16 * MB] * 30
+    ),
+    "long_chunks": lambda: (
+        [
+            OWN_UPLOAD
+            + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % (15 * MB)
+            + bytes(15 * MB - 1)
+        ]
+        * 40
+    ),
+    "all_together": own_all_together,
+}
+OWN_OTHER_PORTS = {
+    "admin_silent": ("admin_port", lambda: [b""] * 500),
+    "admin_heads_without_end": (
+        "admin_port",
+        lambda: [b"GET /status HTTP/1.1\r\nX: " + b"a" * 30_000] * 300,
+    ),
+    "admin_bodies": (
+        "admin_port",
+        lambda: [body_of(15 * MB, b"POST /notes HTTP/1.1\r\nHost: h\r\n")[:-1]] * 40,
+    ),
+    "backend_silent": ("backend_port", lambda: [b""] * 500),
+    "backend_heads_without_end": (
+        "backend_port",
+        lambda: [b"POST /announce HTTP/1.1\r\nX: " + b"a" * 30_000] * 300,
+    ),
+    "backend_empty_lines": ("backend_port", lambda: [b"\r\n" * 8_000_000] * 40),
+}
+OWN_SETTINGS = {
+    "http": {
+        "max_buffered_bytes": 16 * MB,
+        "idle_connection_s": 4,
+        "max_connections": 200,
+        "max_service_connections": 20,
+    }
 }
 
 
-@pytest.mark.parametrize("case", OWN_CASES)
-def test_own_interface_withstands_callers(tmp_path, case):
-    settings = {"http": {"max_buffered_bytes": 16 * MB, "idle_connection_s": 4}}
-    with ProcessFleet(tmp_path, node_settings=settings) as fleet:
+def check_own_interface(directory, port, payloads):
+    """Let a crowd send to a port of a node with the own interface."""
+    with ProcessFleet(directory, node_settings=OWN_SETTINGS) as fleet:
         fleet.start(1)
         (host,) = fleet.hosts
-        address = (HOST, host.call_port)
-
+        address = (HOST, host.node_settings["node"][port])
         assert host.admin.accept_note(initial_note()) == 1
         fleet.await_revision(1)
 
@@ -282,4 +390,15 @@
             )
 
         wait_until(lambda: is_answered(call))
-        check_node(host.node.popen, address, OWN_CASES[case](), call, MEMORY_MB)
+        check_node(host.node.popen, address, payloads, call, MEMORY_MB)
+
+
+@pytest.mark.parametrize("case", OWN_CASES)
+def test_own_interface_withstands_callers(tmp_path, case):
+    check_own_interface(tmp_path, "call_port", OWN_CASES[case]())
+
+
+@pytest.mark.parametrize("case", OWN_OTHER_PORTS)
+def test_own_interface_withstands_clients_of_other_ports(tmp_path, case):
+    port, make_payloads = OWN_OTHER_PORTS[case]
+    check_own_interface(tmp_path, port, make_payloads())
