Read chunked bodies of the own interface in bounded parts

A client that sends a chunk size without end, or a long chunk, took a node's process over its memory: 535 MB with 30 connections of 16 MB each, 646 MB with 40 chunks of 15 MB, of 200 MB allowed.

The HTTP library reads the line before a chunk whatever its length, and a chunk as a whole before the body is counted in the memory of all bodies. Bodies with a length are read in parts of 64 KB and are counted as they come.

Chunked bodies are now read like these: a line between chunks has 4,096 bytes at most, chunks are read in parts, and no more than 100 trailers are skipped.

--- a/src/monsoonmill/node/request_body.py
+++ b/src/monsoonmill/node/request_body.py
@@ -3,7 +3,6 @@
 from threading import Lock
 
 from attrs import define, field
-from cheroot.errors import MaxSizeExceeded
 from cheroot.server import HTTPRequest
 
 from monsoonmill.errors import UserError
@@ -12,6 +11,10 @@
 CONTENT_LENGTH = b"Content-Length"
 READ_BYTES = 1 << 16
 """Maximum size of one read of a body."""
+MAX_LINE_BYTES = 1 << 12
+"""Limit of the line before a chunk, with its extensions, and of a trailer."""
+MAX_TRAILERS = 100
+LINE_END = b"\r\n"
 
 
 class BodyError(UserError):
@@ -133,6 +136,78 @@
             self.is_counted = False
 
 
+@define
+class ChunkedBody:
+    """A body in chunks, of which no more is held than each read returns.
+
+    Attributes
+    ----------
+    max_bytes : int
+        Limit on the chunks together with the lines between them.
+    chunk_left : int
+        Bytes of the current chunk that have not been read.
+    """
+
+    rfile: object
+    max_bytes: int
+    received_bytes: int = 0
+    chunk_left: int = 0
+    is_complete: bool = False
+
+    def read(self, size: int) -> bytes:
+        """Return the next bytes; fewer than ``size`` only at the end.
+
+        Raises
+        ------
+        BodyError
+            A chunk is malformed or cut short, or the body is too large.
+        """
+        return b"".join(self._read_parts(size))
+
+    def _read_parts(self, missing):
+        while missing and not self.is_complete:
+            if not self.chunk_left:
+                self._begin_chunk()
+                continue
+            wanted = min(missing, self.chunk_left)
+            part = self.rfile.read(wanted)
+            if len(part) < wanted:
+                raise MalformedChunkError("a chunk is cut short")
+            missing -= wanted
+            self.chunk_left -= wanted
+            if not self.chunk_left and self.rfile.read(len(LINE_END)) != LINE_END:
+                raise MalformedChunkError("a chunk is longer than its size")
+            yield part
+
+    def _begin_chunk(self):
+        digits = self._read_line().partition(b";")[0].strip()
+        if not digits or digits.strip(b"0123456789abcdefABCDEF"):
+            raise MalformedChunkError("the size of a chunk is malformed")
+        self.chunk_left = int(digits, 16)
+        self._count(self.chunk_left)
+        if not self.chunk_left:
+            self._skip_trailers()
+            self.is_complete = True
+
+    def _skip_trailers(self):
+        for _ in range(MAX_TRAILERS):
+            if self._read_line() == LINE_END:
+                return
+        raise MalformedChunkError("too many trailers")
+
+    def _read_line(self):
+        line = self.rfile.readline(MAX_LINE_BYTES)
+        if not line.endswith(LINE_END):
+            raise MalformedChunkError("a line between chunks is malformed")
+        self._count(len(line))
+        return line
+
+    def _count(self, size):
+        self.received_bytes += size
+        if self.received_bytes > self.max_bytes:
+            raise BodyTooLargeError("the chunks exceed the limit")
+
+
 def read_body(req: HTTPRequest, body: RequestBody) -> bytes:
     """Return the complete body of a request.
 
@@ -145,7 +220,8 @@
     if req.chunked_read:
         if length is not None:
             raise BodyLengthError("both a length and chunks")
-        return _read_chunks(req, body)
+        limit = req.server.max_request_body_size
+        return body.read(ChunkedBody(req.conn.rfile, limit))
     if length is None:
         return b""
     if not (length.isascii() and length.isdigit()):
@@ -154,14 +230,3 @@
     if len(data) != int(length):
         raise TruncatedBodyError(f"{len(data)} of {int(length)} bytes came")
     return data
-
-
-def _read_chunks(req, body):
-    try:
-        return body.read(req.rfile)
-    except ValueError as exc:
-        raise MalformedChunkError("a chunk is malformed or cut short") from exc
-    except TimeoutError:
-        raise
-    except (MaxSizeExceeded, OSError) as exc:
-        raise BodyTooLargeError("the chunks exceed the limit") from exc
