Limit the open connections of the own interface's ports

Clients that open connections and send nothing took as many descriptors as they liked (522 of the 400 allowed, 500 clients), and heads without end on the port for announcements left no ordinary request answered, since the backend server's announcements waited behind 300 heads of 3 s each.

The ports of the platform had limits, those of the own interface none. Each now has the settings' limit, max_connections for callers and max_service_connections for the others, and at most half and a tenth of the process's descriptors. An idle connection gives way to a new one, then one whose request is incomplete, the one that was used the longest time ago first; one with a request that is being answered stays.

--- a/src/monsoonmill/node/program.py
+++ b/src/monsoonmill/node/program.py
@@ -1,6 +1,7 @@
 """The ``monsoon-node`` program."""
 
 import sys
+from resource import RLIMIT_NOFILE, getrlimit
 from secrets import token_hex
 from threading import Thread
 
@@ -32,6 +33,16 @@
 """Maximum wait for readiness; the node then accepts calls regardless."""
 SWITCH_INTERVAL_S = 0.0005
 """Time after which a thread releases the interpreter lock to a waiting thread."""
+CALLERS_FRACTION = 0.5
+SERVICE_FRACTION = 0.1
+"""Of the process's descriptors, for connections of callers and of each other port; the
+rest is for other nodes, the backend server, the store and files."""
+
+
+def limit_connections(max_connections: int, fraction: float) -> int:
+    """Return a limit on connections that leaves descriptors for everything else."""
+    descriptors, _ = getrlimit(RLIMIT_NOFILE)
+    return max(min(max_connections, int(descriptors * fraction)), 1)
 
 
 class Node:
@@ -52,14 +63,15 @@
         self.task = NodeTask(cfg, self.core, codec, SystemClock())
         task_client = NodeTaskClient(self.task)
         threads = cfg.http.crew_threads
+        callers = limit_connections(cfg.http.max_connections, CALLERS_FRACTION)
+        others = limit_connections(cfg.http.max_service_connections, SERVICE_FRACTION)
+        admin_app = AdminApp(task_client, self.core.view, config_codec)
         self.servers = (
-            self._server(cfg.node.call_port, CallApp(task_client), threads),
-            self._server(cfg.node.backend_port, BackendApp(task_client), threads),
+            self._server(cfg.node.call_port, CallApp(task_client), threads, callers),
             self._server(
-                cfg.node.admin_port,
-                AdminApp(task_client, self.core.view, config_codec),
-                ADMIN_THREADS,
+                cfg.node.backend_port, BackendApp(task_client), threads, others
             ),
+            self._server(cfg.node.admin_port, admin_app, ADMIN_THREADS, others),
         )
 
     @classmethod
@@ -67,10 +79,16 @@
         """Return a node whose front ends are not open yet."""
         return cls(cfg)
 
-    def _server(self, port, app, threads):
+    def _server(self, port, app, threads, max_connections):
         cfg = self.cfg
         return AppServer(
-            cfg.node.host, port, app, threads, cfg.http, self.core.counters
+            cfg.node.host,
+            port,
+            app,
+            threads,
+            cfg.http,
+            self.core.counters,
+            max_connections,
         )
 
     def start(self) -> None:
--- a/src/monsoonmill/node/web.py
+++ b/src/monsoonmill/node/web.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from io import BytesIO
 from json import dumps
+from socket import SHUT_RD
 from time import monotonic
 from traceback import format_exc
 
@@ -13,6 +14,7 @@
 from monsoonmill.counters import Counters
 from monsoonmill.eventlog import get_logger, request_log
 from monsoonmill.node.headers import OUTCOME, REASON
+from monsoonmill.node.open_connections import LimitedConnection, OpenConnections
 from monsoonmill.node.request_body import (
     BodyError,
     BodyMemoryError,
@@ -145,14 +147,38 @@
         wfile.write(headers + body)
 
 
-class CountingConnection(HTTPConnection):
-    """A connection whose rejected requests are counted."""
+class CountingConnection(HTTPConnection, LimitedConnection):
+    """A connection whose rejected requests are counted.
+
+    Attributes
+    ----------
+    is_input_ended : bool
+        Whether it has to give way to another connection.
+    """
 
     RequestHandlerClass = CountingRequest
 
     def __init__(self, server, sock, makefile=None):
         super().__init__(server, sock, open_socket_file)
         self.has_sent_data = False
+        self.used_at = monotonic()
+        self.is_in_thread = False
+        self.has_request = False
+        self.is_input_ended = False
+
+    def end_input(self) -> None:
+        """Have it closed; the answer to a request that has arrived is still sent."""
+        self.is_input_ended = True
+        try:
+            self.socket.shutdown(SHUT_RD)
+        except OSError:
+            # The client has closed it already.
+            return
+
+    def close(self) -> None:
+        """Close the socket and make room for another connection."""
+        self.server.open_connections.discard(self)
+        super().close()
 
 
 class AppGateway(Gateway):
@@ -162,7 +188,9 @@
         """Answer one request."""
         body = RequestBody(self.req.server.held_bodies)
         try:
-            response = self.req.server.app.respond(self._read(body), self.req)
+            req = self._read(body)
+            self.req.conn.has_request = True
+            response = self.req.server.app.respond(req, self.req)
         except BodyError as exc:
             self.req.server.counters.add(exc.reason)
             self.req.close_connection = True
@@ -223,6 +251,8 @@
     ----------
     threads : int
         Maximum number of worker threads; they are started as requests need them.
+    max_connections : int, optional
+        Open connections, in place of the settings' limit for callers.
     """
 
     ConnectionClass = CountingConnection
@@ -235,6 +265,7 @@
         threads: int,
         cfg: HttpSettings,
         counters: Counters,
+        max_connections: int | None = None,
     ):
         super().__init__(
             (host, port),
@@ -252,6 +283,9 @@
         self.max_request_header_size = cfg.max_header_bytes
         self.max_request_body_size = cfg.max_body_bytes
         self.held_bodies = HeldBodies(cfg.max_buffered_bytes)
+        self.open_connections = OpenConnections(
+            max_connections or cfg.max_connections, counters
+        )
 
     @property
     def port(self) -> int:
@@ -265,12 +299,26 @@
         """
         if not conn.has_sent_data:
             conn.has_sent_data = True
-            self.put_conn(conn)
+            if self.open_connections.add(conn):
+                self.put_conn(conn)
+            else:
+                conn.close()
             return
+        if conn.is_input_ended and not conn.is_in_thread:
+            conn.close()
+            return
+        conn.is_in_thread = True
         if self.ready and self.requests.qsize >= self.requests.idle:
             self.requests.grow(1)
         super().process_conn(conn)
 
+    def put_conn(self, conn: CountingConnection) -> None:
+        """Wait for the next request of a connection without a thread."""
+        conn.has_request = False
+        conn.is_in_thread = False
+        conn.used_at = monotonic()
+        super().put_conn(conn)
+
     def end_connections(self) -> None:
         """End each connection with its next response; any thread may call this."""
         self.keep_alive_conn_limit = 0
