--- a/review/harness3/kept.py
+++ b/review/harness3/kept.py
@@ -18,9 +18,9 @@
         Time of the request, its id, the status and the body of each answer.
     """
 
-    def __init__(self, record, machine, path, count, prefix, method="GET"):
+    def __init__(self, record, machine, path, count, prefix, method="GET", size=0):
         self.record, self.machine, self.path = record, machine, path
-        self.prefix, self.method = prefix, method
+        self.prefix, self.method, self.size = prefix, method, size
         self.cut, self.answers = [], []
         self.is_running = True
         self._threads = [
@@ -50,8 +50,10 @@
                     requests += 1
                     name = f"{self.prefix}-{number}-{requests}"
                     at = monotonic()
+                    # The first request on a connection is small.
+                    size = self.size if served else 0
                     try:
-                        sock.sendall(request(name, self.path, self.method))
+                        sock.sendall(request(name, self.path, self.method, size))
                     except OSError:
                         # Nothing says that the node has got it.
                         self.record.add("not sent", at=at, id=name)
--- a/review/harness3/target.py
+++ b/review/harness3/target.py
@@ -23,6 +23,8 @@
         What it began to run, with the time, the size of the body and the caller.
     work_s : float
         Time that it works on each request.
+    answer_bytes : int
+        Size of its answers; 0 for the name of its service.
     """
 
     def __init__(self, ip, port, instance, service, slots, zone="z1"):
@@ -31,6 +33,7 @@
         self.born = int(time() * 1000)
         self.sequence = 0
         self.work_s = 0.0
+        self.answer_bytes = 0
         self.runs = []
         self._lock = Lock()
         self._slots = Semaphore(slots)
@@ -110,7 +113,8 @@
             if self.work_s:
                 sleep(self.work_s)
             signature = f"X-Monsoonmill-Response-Signature: {self.instance}.{request}"
-            self._send(sock, "200 OK", request, signature, self.service.encode())
+            body = bytes(self.answer_bytes) or self.service.encode()
+            self._send(sock, "200 OK", request, signature, body)
             run["answered_at"] = monotonic()
         return True
 
