--- a/review/harness3/fleet.py
+++ b/review/harness3/fleet.py
@@ -382,22 +382,33 @@
 
 def answer(sock):
     """Read an answer; return its status and body, or 0 and the reason without one."""
+    return answer_of(sock)[:2]
+
+
+def answer_of(sock):
+    """Read an answer; return also whether the connection stays open after it."""
     try:
         with sock.makefile("rb") as stream:
             line = stream.readline()
             if not line:
-                return 0, b"closed"
+                return 0, b"closed", False
             status = int(line.split()[1])
             size = 0
+            stays_open = True
             while (line := stream.readline()) not in (b"\r\n", b""):
                 name, _, value = line.partition(b":")
                 if name.lower() == b"content-length":
                     size = int(value)
-            return status, stream.read(size)
+                elif name.lower() == b"connection":
+                    stays_open = value.strip().lower() != b"close"
+            body = stream.read(size)
+            if len(body) < size:
+                return 0, b"cut in the body", False
+            return status, body, stays_open
     except TimeoutError:
-        return 0, b"no answer"
+        return 0, b"no answer", False
     except OSError as exc:
-        return 0, f"cut: {type(exc).__name__}".encode()
+        return 0, f"cut: {type(exc).__name__}".encode(), False
 
 
 def main(play):
--- a/review/harness3/kept.py
+++ b/review/harness3/kept.py
@@ -3,7 +3,7 @@
 from threading import Thread
 from time import monotonic, sleep
 
-from fleet import answer, request
+from fleet import answer_of, request
 
 
 class KeptClients:
@@ -58,13 +58,15 @@
                         # Nothing says that the node has got it.
                         self.record.add("not sent", at=at, id=name)
                         break
-                    status, body = answer(sock)
+                    status, body, stays_open = answer_of(sock)
                     text = body.decode("latin-1")
                     self.record.add("answer", at=at, id=name, status=status, body=text)
                     if status:
                         self.answers.append((at, name, status, body))
                         served += 1
-                        continue
+                        if stays_open:
+                            continue
+                        break
                     if served:
                         self.cut.append({"at": at, "id": name, "reason": text})
                     break
