--- a/review/harness3/fleet.py
+++ b/review/harness3/fleet.py
@@ -34,7 +34,7 @@
 served_roles = ["sidecar", "control_plane"]
 ip = "{ip}"
 zone = "{zone}"
-region = "r1"
+region = "{region}"
 internal_ports = [{peer}, {peer_last}]
 seeds = []
 bootstrap = true
@@ -47,7 +47,7 @@
 service = "{service}"
 [zones]
 z1 = "r1"
-z2 = "r1"
+z2 = "{other_region}"
 [listen_addrs]
 inbound = "{ip}:{inbound}"
 outbound = "{ip}:{outbound}"
@@ -126,7 +126,9 @@
 class Machine:
     """One ``sidecar`` machine: its node, its target and its settings."""
 
-    def __init__(self, number, ip, service, slots, store, memory_mb, directory):
+    def __init__(
+        self, number, ip, service, slots, store, memory_mb, directory, regions
+    ):
         names = ("peer", "app", "inbound", "outbound", "ready", "control")
         self.ports = {name: free_port(ip) for name in names}
         self.number, self.ip, self.service = number, ip, service
@@ -140,6 +142,8 @@
             number=number,
             ip=ip,
             zone=self.zone,
+            region=regions[number % 2],
+            other_region=regions[1],
             peer_last=self.ports["peer"] + 15,
             service=service,
             memory_mb=memory_mb,
@@ -214,9 +218,19 @@
         Service of each machine's target.
     memory_mb : int
         Memory of each machine; a process that exceeds it is killed and started again.
+    regions : tuple of str
+        Regions of the two zones, in which the machines stand by turns.
     """
 
-    def __init__(self, record, services, slots=50, memory_mb=300, store_ports=None):
+    def __init__(
+        self,
+        record,
+        services,
+        slots=50,
+        memory_mb=300,
+        store_ports=None,
+        regions=("r1", "r1"),
+    ):
         self.record = record
         self.memory_mb = memory_mb
         self.directory = Path(mkdtemp(prefix="monsoonmill-review-"))
@@ -235,6 +249,7 @@
                 addresses[number] if addresses else f"{net}.250:{port}",
                 memory_mb,
                 self.directory,
+                regions,
             )
             for number, service in enumerate(services)
         ]
