--- a/review/harness3/fleet.py
+++ b/review/harness3/fleet.py
@@ -116,11 +116,15 @@
             self._file.flush()
 
 
-def free_port(ip):
-    """Return a port that is free on a loopback address."""
-    with socket() as sock:
+def free_ports(ip, count):
+    """Return different ports that are free on a loopback address."""
+    socks = [socket() for _ in range(count)]
+    for sock in socks:
         sock.bind((ip, 0))
-        return sock.getsockname()[1]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
 
 
 class Machine:
@@ -130,7 +134,7 @@
         self, number, ip, service, slots, store, memory_mb, directory, regions
     ):
         names = ("peer", "app", "inbound", "outbound", "ready", "control")
-        self.ports = {name: free_port(ip) for name in names}
+        self.ports = dict(zip(names, free_ports(ip, len(names)), strict=True))
         self.number, self.ip, self.service = number, ip, service
         self.zone = f"z{1 + number % 2}"
         self.process = None
--- a/review/harness3/kept.py
+++ b/review/harness3/kept.py
@@ -5,6 +5,8 @@
 
 from fleet import answer_of, request
 
+STAGGER_S = 0.06
+
 
 class KeptClients:
     """Clients on one machine, each with a kept connection.
@@ -38,6 +40,8 @@
 
     def _run(self, number):
         requests = 0
+        # They don't send all at the same moment.
+        sleep(number * STAGGER_S)
         while self.is_running:
             try:
                 sock = self.machine.connect(timeout_s=8.0)
